Add the decision core of an entry instance

Cause: there was nothing yet. Change: pure modules (support, jobs, claims, routing, admission, membership, configuration) and the instance that composes them; events and time in, actions out.

--- /dev/null
+++ b/coordination/marjorambend/src/Jobs/FairQueue.cpp
@@ -0,0 +1,68 @@
+#include "marjorambend/src/Jobs/FairQueue.h"
+
+#include <algorithm>
+
+namespace marjorambend {
+
+void pushJob(FairQueue &Queue, std::string_view Team, double Weight,
+             const QueuedJob &Job) {
+  ClassQueue &Class = Queue.Classes_[Job.Class_];
+  auto Found = Class.Teams_.find(Team);
+  if (Found == Class.Teams_.end())
+    Found = Class.Teams_.emplace(std::string(Team), TeamQueue{}).first;
+  TeamQueue &Entry = Found->second;
+  Entry.Weight_ = Weight;
+  if (Entry.Jobs_.empty()) {
+    // A team that was idle starts at the present, without credit for the past.
+    Entry.VirtualTime_ = std::max(Entry.VirtualTime_, Class.VirtualNow_);
+    Class.Order_.emplace(Entry.VirtualTime_, Found->first);
+  }
+  if (Entry.Jobs_.emplace(Job.OrderKey_, Job.Id_).second)
+    ++Queue.Jobs_;
+}
+
+void removeJob(FairQueue &Queue, std::string_view Team, const QueuedJob &Job) {
+  ClassQueue &Class = Queue.Classes_[Job.Class_];
+  const auto Found = Class.Teams_.find(Team);
+  if (Found == Class.Teams_.end())
+    return;
+  TeamQueue &Entry = Found->second;
+  if (Entry.Jobs_.erase({Job.OrderKey_, Job.Id_}) == 0)
+    return;
+  --Queue.Jobs_;
+  if (!Entry.Jobs_.empty())
+    return;
+  Class.Order_.erase({Entry.VirtualTime_, Found->first});
+  // Credit and debt of an idle team end once the others have caught up.
+  if (Entry.VirtualTime_ <= Class.VirtualNow_)
+    Class.Teams_.erase(Found);
+}
+
+std::optional<JobId> frontJob(const FairQueue &Queue) {
+  for (const ClassQueue &Class : Queue.Classes_) {
+    if (Class.Order_.empty())
+      continue;
+    const auto &Team = std::get<1>(*Class.Order_.begin());
+    const TeamQueue &Entry = Class.Teams_.find(Team)->second;
+    return std::get<1>(*Entry.Jobs_.begin());
+  }
+  return std::nullopt;
+}
+
+void chargeTeam(FairQueue &Queue, std::string_view Team, uint8_t Class,
+                Milliseconds Work) {
+  ClassQueue &Entry = Queue.Classes_[Class];
+  const auto Found = Entry.Teams_.find(Team);
+  if (Found == Entry.Teams_.end())
+    return;
+  TeamQueue &Charged = Found->second;
+  Entry.VirtualNow_ = std::max(Entry.VirtualNow_, Charged.VirtualTime_);
+  const double Step = static_cast<double>(Work.Count_) / Charged.Weight_;
+  const bool IsQueued =
+      Entry.Order_.erase({Charged.VirtualTime_, Found->first});
+  Charged.VirtualTime_ += Step;
+  if (IsQueued)
+    Entry.Order_.emplace(Charged.VirtualTime_, Found->first);
+}
+
+} // namespace marjorambend
--- /dev/null
+++ b/coordination/marjorambend/src/Membership/PeerTable.h
@@ -0,0 +1,62 @@
+#ifndef MARJORAMBEND_MEMBERSHIP_PEERTABLE_H
+#define MARJORAMBEND_MEMBERSHIP_PEERTABLE_H
+
+#include "marjorambend/src/Routing/WorkerTable.h"
+#include "marjorambend/src/Support/Identity.h"
+#include "marjorambend/src/Support/Milliseconds.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief Timing of heartbeats between instances.
+struct PeerOptions {
+  Milliseconds HeartbeatNear_{100};  ///< To instances of the data centre.
+  Milliseconds HeartbeatFar_{1'000}; ///< To instances of other data centres.
+  Milliseconds Silence_{3'000};      ///< A link without heartbeat is replaced.
+  Milliseconds Reconnect_{1'000};    ///< Time a lost link may take to return.
+};
+
+/// \brief Slots of one worker that an instance uses.
+struct WorkerUse {
+  uint32_t NameHash_ = 0; ///< hashName of the worker.
+  uint16_t Outstanding_ = 0;
+};
+
+/// \brief Another instance with which a link is open.
+struct Peer {
+  Incarnation Run_;
+  std::string Name_;
+  std::string DataCentre_;
+  Milliseconds HeardAt_;
+  Milliseconds HeartbeatDue_;
+  uint64_t CatalogueVersion_ = 0;
+  bool HasBacklog_ = false; ///< Tasks wait there for a slot.
+  bool IsStopping_ = false;
+  std::vector<WorkerUse> Uses_;
+};
+
+/// \brief The instances with which links are open.
+struct PeerTable {
+  std::map<Incarnation, Peer> Peers_;
+};
+
+/// \brief Short name of a worker in heartbeats.
+uint32_t hashName(std::string_view Name);
+
+/// \brief Works out, for each worker, the slots that other instances of the
+/// data centre use or are entitled to.
+///
+/// Slots are split evenly between the instances of a data centre; the slots
+/// that remain go to instances in an order that differs from worker to worker.
+/// An instance without backlog lends what it does not use.
+void sharePeerUse(const PeerTable &Peers, Incarnation Self,
+                  std::string_view DataCentre, WorkerTable &Workers);
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_MEMBERSHIP_PEERTABLE_H
--- /dev/null
+++ b/coordination/marjorambend/src/Routing/WorkerTable.h
@@ -0,0 +1,67 @@
+#ifndef MARJORAMBEND_ROUTING_WORKERTABLE_H
+#define MARJORAMBEND_ROUTING_WORKERTABLE_H
+
+#include "marjorambend/src/Routing/RoutingTypes.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief What an instance knows of one worker's backend server.
+struct Worker {
+  WorkerSpec Spec_;
+  bool IsListed_ = true;        ///< Present in the latest list.
+  bool IsDrained_ = false;      ///< By an operator.
+  bool HasSaidLeaving_ = false; ///< By its own refusal.
+  uint32_t Outstanding_ = 0;    ///< Tasks of this instance under way.
+  uint32_t PeerUse_ = 0;        ///< Slots used by or kept for other instances.
+  double Slowness_ = 1.0;       ///< Run time relative to the fleet's.
+  uint32_t FailureStreak_ = 0;  ///< Blamed failures since the last success.
+  uint32_t Ejections_ = 0;      ///< Successive ejections; doubles the time.
+  bool IsProbing_ = false;      ///< Ejection is over, next task decides.
+  Milliseconds EjectedUntil_;
+  Milliseconds PausedUntil_; ///< After a refusal.
+};
+
+/// \brief The workers of one data centre. Indices stay valid for ever.
+struct WorkerTable {
+  std::vector<Worker> Workers_;
+  std::unordered_map<std::string, uint32_t> Index_;
+  uint32_t NextInTurn_ = 0;
+};
+
+/// \brief Brings the table in line with the platform's list.
+///
+/// Workers that are no longer listed get no new task, and keep their index.
+void updateWorkers(WorkerTable &Table, std::span<const WorkerSpec> Listed);
+
+/// \brief Whether new tasks may be sent to the worker, slots aside.
+bool isEligible(const Worker &Candidate, Milliseconds Now);
+
+/// \brief Slots that this instance may use at present.
+uint32_t slotLimit(const Worker &Candidate);
+
+/// \brief Number of workers that may get tasks, and their slots for this
+/// instance.
+struct Capacity {
+  uint32_t Workers_ = 0;
+  uint32_t Slots_ = 0;
+  uint32_t FreeSlots_ = 0;
+};
+
+/// \brief Sums up the eligible workers.
+Capacity capacityOf(const WorkerTable &Table, Milliseconds Now);
+
+/// \brief The worker with that name, if it was ever listed.
+std::optional<uint32_t> findWorker(const WorkerTable &Table,
+                                   std::string_view Name);
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_ROUTING_WORKERTABLE_H
--- /dev/null
+++ b/coordination/marjorambend/src/Support/Counters.cpp
@@ -0,0 +1,36 @@
+#include "marjorambend/src/Support/Counters.h"
+
+namespace marjorambend {
+namespace internal {
+
+struct CounterText {
+  std::string_view Name_;
+  std::string_view Help_;
+};
+
+constexpr std::array<CounterText, CounterCount> CounterTexts = {{
+#define MARJORAMBEND_COUNTER(Id, Name, Help) {Name, Help},
+#include "marjorambend/src/Support/Counters.def"
+#undef MARJORAMBEND_COUNTER
+}};
+
+} // namespace internal
+
+std::string_view counterName(Counter Which) {
+  return internal::CounterTexts[static_cast<std::size_t>(Which)].Name_;
+}
+
+std::string renderCounters(const Counters &All) {
+  std::string Text;
+  for (std::size_t Index = 0; Index < CounterCount; ++Index) {
+    const std::string Name =
+        "marjorambend_" + std::string(internal::CounterTexts[Index].Name_);
+    Text += "# HELP " + Name + ' ';
+    Text += internal::CounterTexts[Index].Help_;
+    Text += "\n# TYPE " + Name + " counter\n";
+    Text += Name + ' ' + std::to_string(All.Values_[Index]) + '\n';
+  }
+  return Text;
+}
+
+} // namespace marjorambend
