Add the transport package and the daemon

Cause: the decisions had no sockets. Change: HTTP by libevhtp and evhttp, frames between instances with FlatBuffers and a keyed digest, platform and backend clients, settings from a schema, the daemon as a thin shell.

--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,58 @@
+/// \file
+/// \brief The daemon of an entry instance: settings, log, signals, loop.
+
+#include "Daemon.h"
+
+#include <csignal>
+#include <iostream>
+#include <spdlog/sinks/stdout_color_sinks.h>
+#include <spdlog/spdlog.h>
+
+using namespace marjorambend;
+
+static constexpr int ExitCannotStart = 1;
+static constexpr int ExitWrongSettings = 2;
+
+static void setUpLog(const SettingsT &Settings) {
+  spdlog::set_default_logger(spdlog::stderr_color_st("marjorambend"));
+  if (Settings.log_format == "json")
+    spdlog::set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",)"
+                        R"("instance":")" +
+                        Settings.name + R"(","change":"%v"})");
+  else
+    spdlog::set_pattern("%Y-%m-%d %H:%M:%S.%e %l " + Settings.name + ": %v");
+  spdlog::flush_on(spdlog::level::info);
+}
+
+static int run(const SettingsT &Settings) {
+  setUpLog(Settings);
+  signal(SIGPIPE, SIG_IGN);
+  EventLoop Loop;
+  Daemon Instance(Loop, Settings);
+  const SignalWatch Terminate(Loop, SIGTERM, [&] { Instance.stop(); });
+  const SignalWatch Interrupt(Loop, SIGINT, [&] { Instance.stop(); });
+  if (const auto Started = Instance.start(); !Started) {
+    spdlog::error("{}", Started.error().What_);
+    return ExitCannotStart;
+  }
+  Loop.run();
+  return Instance.exitCode();
+}
+
+int main(int Count, char **Arguments) {
+  const auto Line = readSettings(Count, Arguments);
+  if (!Line) {
+    for (const std::string &Problem : Line.error().Problems_)
+      std::cerr << "marjorambend: " << Problem << '\n';
+    return ExitWrongSettings;
+  }
+  if (Line->IsHelp_) {
+    std::cout << settingsHelp();
+    return 0;
+  }
+  if (Line->IsCheck_) {
+    std::cout << "the settings are right\n";
+    return 0;
+  }
+  return run(Line->Settings_);
+}
--- /dev/null
+++ b/transport/marjorambend/src/Transport/CallerApi.h
@@ -0,0 +1,44 @@
+#ifndef MARJORAMBEND_TRANSPORT_CALLERAPI_H
+#define MARJORAMBEND_TRANSPORT_CALLERAPI_H
+
+#include "marjorambend/src/Instance/Instance.h"
+#include "marjorambend/src/Transport/HttpServer.h"
+
+#include <string>
+#include <tl/expected.hpp>
+
+namespace marjorambend {
+
+/// \brief Why a request of a caller is not a job; answered with \c Status_.
+struct CallerError {
+  Reason Reason_ = Reason::MalformedRequest;
+  std::string What_;
+};
+
+/// \brief Reads `POST /v1/jobs`: identity, team and timeout from header
+/// fields, kind and tasks from the JSON body.
+tl::expected<JobRequest, CallerError> parseJob(const HttpRequest &Request,
+                                               Milliseconds MaxTimeout);
+
+/// \brief The response that carries an answer.
+///
+/// Status 200: complete. 503, 429 and 4xx: not run. 409, 410, 502 and 504: may
+/// have run. The field Marjorambend-Outcome and the member "outcome" say the
+/// same.
+HttpReply formatAnswer(const Answer &Given, bool IsIdempotent);
+
+/// \brief The response to a request that is not a job.
+HttpReply formatError(const CallerError &Error);
+
+/// \brief The response to `GET /v1/jobs/ID`.
+HttpReply formatStatus(const JobId &Id, const std::optional<JobStatus> &Status);
+
+/// \brief The response to `POST /v1/identities`.
+HttpReply formatIdentities(std::span<const JobId> Ids);
+
+/// \brief The JSON body of an error answer.
+std::string errorBody(Reason Why, std::string_view Message);
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_TRANSPORT_CALLERAPI_H
--- /dev/null
+++ b/transport/marjorambend/src/Transport/EventLoop.cpp
@@ -0,0 +1,55 @@
+#include "marjorambend/src/Transport/EventLoop.h"
+
+#include <chrono>
+
+namespace marjorambend {
+namespace internal {
+
+static void callFunction(evutil_socket_t, short, void *Argument) {
+  // A copy, since the call may destroy the owner.
+  const auto Call = *static_cast<std::function<void()> *>(Argument);
+  Call();
+}
+
+template <typename Clock> Milliseconds nowOf() {
+  const auto Since = Clock::now().time_since_epoch();
+  return {std::chrono::duration_cast<std::chrono::milliseconds>(Since).count()};
+}
+
+} // namespace internal
+
+EventLoop::EventLoop() : Base_(event_base_new()) {}
+EventLoop::~EventLoop() { event_base_free(Base_); }
+void EventLoop::run() { event_base_dispatch(Base_); }
+void EventLoop::stop() { event_base_loopbreak(Base_); }
+
+Timer::Timer(EventLoop &Loop, Milliseconds After, Mode How,
+             std::function<void()> Call)
+    : Call_(std::move(Call)) {
+  const short Flags = How == Mode::Repeat ? EV_PERSIST : 0;
+  Event_ = event_new(Loop.base(), -1, Flags, internal::callFunction, &Call_);
+  const timeval Time = toTimeval(After);
+  event_add(Event_, &Time);
+}
+Timer::~Timer() { event_free(Event_); }
+
+SignalWatch::SignalWatch(EventLoop &Loop, int Number,
+                         std::function<void()> Call)
+    : Call_(std::move(Call)) {
+  Event_ = evsignal_new(Loop.base(), Number, internal::callFunction, &Call_);
+  event_add(Event_, nullptr);
+}
+SignalWatch::~SignalWatch() { event_free(Event_); }
+
+Milliseconds monotonicNow() {
+  return internal::nowOf<std::chrono::steady_clock>();
+}
+
+Milliseconds wallNow() { return internal::nowOf<std::chrono::system_clock>(); }
+
+timeval toTimeval(Milliseconds Time) {
+  return {.tv_sec = static_cast<time_t>(Time.Count_ / 1000),
+          .tv_usec = static_cast<suseconds_t>(Time.Count_ % 1000 * 1000)};
+}
+
+} // namespace marjorambend
--- /dev/null
+++ b/transport/marjorambend/src/Transport/HttpTypes.h
@@ -0,0 +1,45 @@
+#ifndef MARJORAMBEND_TRANSPORT_HTTPTYPES_H
+#define MARJORAMBEND_TRANSPORT_HTTPTYPES_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief Header fields in the order in which they are sent.
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// \brief A whole HTTP response.
+struct HttpReply {
+  uint16_t Status_ = 200;
+  HttpHeaders Headers_;
+  std::string Body_;
+};
+
+/// \brief The value of a header field, or an empty text.
+std::string_view findHeader(const HttpHeaders &Headers, std::string_view Name);
+
+/// \brief The value of a query parameter, or an empty text.
+std::string queryValue(std::string_view Query, std::string_view Name);
+
+/// \brief A response with a JSON body.
+HttpReply jsonReply(uint16_t Status, std::string Body);
+
+namespace header {
+inline constexpr const char *JobId = "Marjorambend-Job-Id";
+inline constexpr const char *Team = "Marjorambend-Team";
+inline constexpr const char *Timeout = "Marjorambend-Timeout-Ms";
+inline constexpr const char *Outcome = "Marjorambend-Outcome";
+inline constexpr const char *Kind = "Marjorambend-Kind";
+inline constexpr const char *Task = "Marjorambend-Task";
+inline constexpr const char *NotRun = "Marjorambend-Not-Run";
+inline constexpr const char *Leaving = "Marjorambend-Leaving";
+inline constexpr const char *TraceParent = "traceparent";
+} // namespace header
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_TRANSPORT_HTTPTYPES_H
--- /dev/null
+++ b/transport/marjorambend/src/Transport/PeerCodec.h
@@ -0,0 +1,38 @@
+#ifndef MARJORAMBEND_TRANSPORT_PEERCODEC_H
+#define MARJORAMBEND_TRANSPORT_PEERCODEC_H
+
+#include "marjorambend/src/Instance/Messages.h"
+#include "marjorambend/src/Transport/Frame.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief First message of each side of a link.
+struct PeerHello {
+  Incarnation Run_;
+  std::string Name_;
+  std::string DataCentre_;
+  uint64_t Nonce_ = 0; ///< Goes into the digest of all frames that follow.
+};
+
+/// \brief What the content of a frame can be.
+using PeerContent = std::variant<PeerHello, PeerMessage>;
+
+/// \brief A message as the content of a frame.
+std::vector<uint8_t> encodeHello(const PeerHello &Hello);
+std::vector<uint8_t> encodeMessage(const PeerMessage &Message);
+
+/// \brief Verifies the content of a frame, then reads it.
+/// \returns the message, or FrameError::Malformed.
+tl::expected<PeerContent, FrameError>
+decodeContent(std::span<const uint8_t> Content);
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_TRANSPORT_PEERCODEC_H
--- /dev/null
+++ b/transport/marjorambend/src/Transport/PlatformClient.h
@@ -0,0 +1,69 @@
+#ifndef MARJORAMBEND_TRANSPORT_PLATFORMCLIENT_H
+#define MARJORAMBEND_TRANSPORT_PLATFORMCLIENT_H
+
+#include "marjorambend/src/Instance/Actions.h"
+#include "marjorambend/src/Instance/Events.h"
+#include "marjorambend/src/Transport/HttpClient.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief An instance as the platform's list has it.
+struct InstanceSpec {
+  std::string Name_;
+  std::string DataCentre_;
+  std::string Address_;
+  uint16_t CallerPort_ = 0;
+  uint16_t OperatorPort_ = 0;
+  uint16_t PeerPort_ = 0;
+};
+
+/// \brief The platform's list: it lags, and may name what is gone.
+struct PlatformList {
+  std::vector<InstanceSpec> Instances_;
+  std::vector<WorkerSpec> Workers_;
+};
+
+/// \brief Parameters of the platform's service.
+struct PlatformOptions {
+  Endpoint Service_;
+  Incarnation Self_;
+  InstanceSpec Instance_; ///< Announced with each read of the list.
+  Milliseconds Timeout_{800};
+};
+
+/// \brief Speaks to the platform: table service and list, HTTP with JSON.
+///
+/// Each call ends in one event for the instance. An answer that is late, lost
+/// or unreadable is reported as failed; it may have taken effect.
+class PlatformClient {
+public:
+  using EventHandler = std::function<void(Event)>;
+  using ListHandler = std::function<void(PlatformList)>;
+
+  PlatformClient(HttpClient &Client, PlatformOptions Options,
+                 EventHandler OnEvent, ListHandler OnList);
+
+  void insertClaims(const ClaimBatch &Batch);
+  void readRow(const std::string &Key);
+  void swapRow(const SwapRow &Swap);
+  void deleteRows(const std::string &Prefix);
+  /// \brief Announces this instance and reads the list.
+  void readList();
+
+private:
+  void post(const std::string &Target, std::string Body,
+            HttpClient::Handler OnResult);
+
+  HttpClient &Client_;
+  PlatformOptions Options_;
+  EventHandler OnEvent_;
+  ListHandler OnList_;
+};
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_TRANSPORT_PLATFORMCLIENT_H
