--- a/transport/marjorambend/src/Transport/PlatformClient.cpp
+++ b/transport/marjorambend/src/Transport/PlatformClient.cpp
@@ -104,12 +104,19 @@
     : Client_(Client), Options_(std::move(Options)),
       OnEvent_(std::move(OnEvent)), OnList_(std::move(OnList)) {}
 
+// The platform learns who asks.
+static HttpHeaders callHeaders(const PlatformOptions &Options) {
+  return {{"Content-Type", "application/json"},
+          {"Marjorambend-Instance", Options.Instance_.Name_},
+          {"Marjorambend-Centre", Options.Instance_.DataCentre_}};
+}
+
 void PlatformClient::post(const std::string &Target, std::string Body,
                           HttpClient::Handler OnResult) {
   Client_.send({.To_ = Options_.Service_,
                 .Method_ = "POST",
                 .Target_ = Target,
-                .Headers_ = {{"Content-Type", "application/json"}},
+                .Headers_ = callHeaders(Options_),
                 .Body_ = std::move(Body),
                 .Timeout_ = Options_.Timeout_},
                std::move(OnResult));
