Add the operators' tool, the load tool and the demonstration

Cause: the path could not be driven, measured or operated. A worker that refuses a task for lack of slots now lowers a ceiling that successes raise. The refusal count of a task no longer fails it below 50 refusals. Conclusion: overfilling came from borrowing slots between two heartbeats.

--- a/coordination/marjorambend/src/Admission/RetryBudget.h
+++ b/coordination/marjorambend/src/Admission/RetryBudget.h
@@ -11,7 +11,7 @@
   bool IsUnlimited_ = false;    ///< Baseline without any budget.
   double ShareOfSuccess_ = 0.1; ///< Retries earned by one success.
   double MaxTokens_ = 50;       ///< Most retries that can be saved up.
-  uint8_t MaxPerTask_ = 3;      ///< Most retries of one task.
+  uint8_t MaxPerTask_ = 50;     ///< Most refusals of one task.
 };
 
 /// \brief Retries as a share of successes: a token bucket that successes fill.
@@ -26,13 +26,11 @@
 }
 
 /// \brief Takes one retry from the budget.
-/// \param Refusals times the task was refused, this one included.
-/// \returns false if there is none left for the task.
-inline bool spendRetry(RetryBudget &Budget, const RetryOptions &Options,
-                       uint8_t Refusals) {
+/// \returns false if there is none left.
+inline bool spendRetry(RetryBudget &Budget, const RetryOptions &Options) {
   if (Options.IsUnlimited_)
     return true;
-  if (Refusals > Options.MaxPerTask_ || Budget.Tokens_ < 1)
+  if (Budget.Tokens_ < 1)
     return false;
   Budget.Tokens_ -= 1;
   return true;
--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -219,22 +219,30 @@
   failByState(T, Record, IsLost ? Reason::TaskLost : Reason::TaskFailed, {});
 }
 
-static void pauseWorker(Turn &T, uint32_t WorkerIndex, TaskResult Result) {
+static Milliseconds pauseAfter(Turn &T, TaskResult Result) {
   Instance &State = T.State_;
-  Worker &Refused = State.Workers_.Workers_[WorkerIndex];
   const RoutingOptions &Options = State.Options_.Routing_;
+  if (Result == TaskResult::NotConnected)
+    return Options.ConnectPause_;
+  if (spendRetry(State.RetryBudget_, State.Options_.Retry_))
+    return Options.RefusalPause_;
+  increment(State.Counters_, Counter::RetriesDenied);
+  return Options.DeniedPause_;
+}
+
+static void pauseWorker(Turn &T, uint32_t WorkerIndex, TaskResult Result) {
+  Worker &Refused = T.State_.Workers_.Workers_[WorkerIndex];
   if (Result == TaskResult::RefusedLeaving && !Refused.HasSaidLeaving_) {
     Refused.HasSaidLeaving_ = true;
     T.Out_.emplace_back(
         LogChange{"worker " + Refused.Spec_.Name_ + " says it is leaving"});
   }
-  const Milliseconds Pause = Result == TaskResult::NotConnected
-                                 ? Options.ConnectPause_
-                                 : Options.RefusalPause_;
-  Refused.PausedUntil_ = T.Now_ + Pause;
+  if (Result == TaskResult::Refused)
+    lowerCeiling(Refused);
+  Refused.PausedUntil_ = T.Now_ + pauseAfter(T, Result);
 }
 
-// Provably not run: the task may be offered to another worker.
+// Provably not run: the task may be offered to a worker again.
 static void takeRefusal(Turn &T, JobRecord &Record, const SendRecord &Sent,
                         TaskResult Result) {
   Instance &State = T.State_;
@@ -247,13 +255,8 @@
   noteRequeued(State.Admission_, Record.Class_,
                Record.Request_.Tasks_[Sent.Task_].size(), Record.TaskMs_);
   Record.Ready_.push_back(Sent.Task_);
-  const bool IsCharged = Result == TaskResult::Refused;
-  const bool MayRetry =
-      IsCharged ? spendRetry(State.RetryBudget_, State.Options_.Retry_,
-                             Task.Refusals_)
-                : Task.Refusals_ <= State.Options_.Retry_.MaxPerTask_;
-  if (!MayRetry) {
-    increment(State.Counters_, Counter::RetriesDenied);
+  const RetryOptions &Retry = State.Options_.Retry_;
+  if (!Retry.IsUnlimited_ && Task.Refusals_ > Retry.MaxPerTask_) {
     failByState(T, Record, Reason::RetriesExhausted, comeBackTime(T));
     return;
   }
--- a/coordination/marjorambend/src/Routing/Router.cpp
+++ b/coordination/marjorambend/src/Routing/Router.cpp
@@ -138,6 +138,7 @@
   Praised.FailureStreak_ = 0;
   Praised.Ejections_ = 0;
   Praised.IsProbing_ = false;
+  raiseCeiling(Praised);
 }
 
 } // namespace marjorambend
--- a/coordination/marjorambend/src/Routing/RoutingTypes.h
+++ b/coordination/marjorambend/src/Routing/RoutingTypes.h
@@ -27,6 +27,7 @@
   Milliseconds EjectionBase_{2'000};
   Milliseconds EjectionMax_{60'000};
   Milliseconds RefusalPause_{30};    ///< After a refusal for lack of slots.
+  Milliseconds DeniedPause_{500};    ///< The same, without retry budget.
   Milliseconds ConnectPause_{1'000}; ///< After a connection was refused.
   double WaitRatio_ = 3.0; ///< Slowest worker used, relative to the fastest.
 };
--- a/coordination/marjorambend/src/Routing/WorkerTable.cpp
+++ b/coordination/marjorambend/src/Routing/WorkerTable.cpp
@@ -1,5 +1,7 @@
 #include "marjorambend/src/Routing/WorkerTable.h"
 
+#include <algorithm>
+
 namespace marjorambend {
 
 void updateWorkers(WorkerTable &Table, std::span<const WorkerSpec> Listed) {
@@ -39,7 +41,18 @@
 
 uint32_t slotLimit(const Worker &Candidate) {
   const uint32_t Slots = Candidate.Spec_.Slots_;
-  return Candidate.PeerUse_ < Slots ? Slots - Candidate.PeerUse_ : 0;
+  if (Candidate.PeerUse_ >= Slots)
+    return 0;
+  return std::min(Slots - Candidate.PeerUse_, Candidate.Ceiling_);
+}
+
+void lowerCeiling(Worker &Full) {
+  Full.Ceiling_ = std::max<uint32_t>(1, Full.Outstanding_);
+}
+
+void raiseCeiling(Worker &Free) {
+  if (Free.Ceiling_ < Free.Spec_.Slots_)
+    ++Free.Ceiling_;
 }
 
 Capacity capacityOf(const WorkerTable &Table, Milliseconds Now) {
@@ -49,7 +62,7 @@
       continue;
     const uint32_t Limit = slotLimit(Candidate);
     ++Sum.Workers_;
-    Sum.Slots_ += Limit;
+    Sum.Slots_ += std::max(Limit, Candidate.Share_);
     if (Candidate.Outstanding_ < Limit)
       Sum.FreeSlots_ += Limit - Candidate.Outstanding_;
   }
--- a/coordination/marjorambend/src/Routing/WorkerTable.h
+++ b/coordination/marjorambend/src/Routing/WorkerTable.h
@@ -21,10 +21,12 @@
   bool HasSaidLeaving_ = false; ///< By its own refusal.
   uint32_t Outstanding_ = 0;    ///< Tasks of this instance under way.
   uint32_t PeerUse_ = 0;        ///< Slots used by or kept for other instances.
-  double Slowness_ = 1.0;       ///< Run time relative to the fleet's.
-  uint32_t FailureStreak_ = 0;  ///< Blamed failures since the last success.
-  uint32_t Ejections_ = 0;      ///< Successive ejections; doubles the time.
-  bool IsProbing_ = false;      ///< Ejection is over, next task decides.
+  uint32_t Share_ = 0;          ///< Slots that this instance is entitled to.
+  uint32_t Ceiling_ = UINT32_MAX; ///< Tasks that fitted when one was refused.
+  double Slowness_ = 1.0;         ///< Run time relative to the fleet's.
+  uint32_t FailureStreak_ = 0;    ///< Blamed failures since the last success.
+  uint32_t Ejections_ = 0;        ///< Successive ejections; doubles the time.
+  bool IsProbing_ = false;        ///< Ejection is over, next task decides.
   Milliseconds EjectedUntil_;
   Milliseconds PausedUntil_; ///< After a refusal.
 };
@@ -47,11 +49,18 @@
 /// \brief Slots that this instance may use at present.
 uint32_t slotLimit(const Worker &Candidate);
 
+/// \brief Takes note that a worker had no free slot: fewer tasks are sent to
+/// it, until successes raise the ceiling again, one by one.
+void lowerCeiling(Worker &Full);
+
+/// \brief Takes note that a task succeeded.
+void raiseCeiling(Worker &Free);
+
 /// \brief Number of workers that may get tasks, and their slots for this
 /// instance.
 struct Capacity {
   uint32_t Workers_ = 0;
-  uint32_t Slots_ = 0;
+  uint32_t Slots_ = 0; ///< Usable at present, or entitled to if that is more.
   uint32_t FreeSlots_ = 0;
 };
 
--- /dev/null
+++ b/ctl/OperatorClient.h
@@ -0,0 +1,46 @@
+#ifndef MARJORAMBEND_CTL_OPERATORCLIENT_H
+#define MARJORAMBEND_CTL_OPERATORCLIENT_H
+
+#include <marjorambend/Transport>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace marjorambend {
+
+/// \brief Why an operator's call has no usable answer.
+struct OperatorFailure {
+  bool IsUnreachable_ = false;
+  std::string What_; ///< Says what to do.
+};
+
+/// \brief An answer of the operators' listener.
+struct OperatorAnswer {
+  uint16_t Status_ = 0;
+  nlohmann::json Body_;
+  std::string Text_;
+};
+
+using OperatorResult = tl::expected<OperatorAnswer, OperatorFailure>;
+
+/// \brief Calls operators' listeners, one call at a time.
+class OperatorClient {
+public:
+  OperatorClient(EventLoop &Loop, std::string Secret);
+
+  /// \brief Calls and waits; an answer of 401 counts as a failure.
+  OperatorResult call(const Endpoint &To, const std::string &Method,
+                      const std::string &Target, std::string Body = {});
+
+  /// \brief Waits.
+  void pause(Milliseconds Time);
+
+private:
+  EventLoop &Loop_;
+  HttpClient Client_;
+  std::string Secret_;
+};
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_CTL_OPERATORCLIENT_H
--- /dev/null
+++ b/ctl/main.cpp
@@ -0,0 +1,58 @@
+/// \file
+/// \brief The operators' tool: command line, environment, exit code.
+
+#include "Commands.h"
+
+#include <charconv>
+#include <csignal>
+#include <cstdlib>
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_string(instance, "127.0.0.1:8081",
+              "operators' listener of an instance, IP:PORT");
+DEFINE_bool(json, false, "print JSON for scripts");
+DEFINE_int64(expect, -1, "with apply: the version that was edited");
+DEFINE_int64(wait_ms, 9000, "how long apply and wait-ready wait");
+
+using namespace marjorambend;
+
+static std::optional<Endpoint> parseEndpoint(const std::string &Text) {
+  const std::size_t Colon = Text.find(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  uint16_t Port = 0;
+  const char *Begin = Text.data() + Colon + 1;
+  const char *End = Text.data() + Text.size();
+  const auto [Last, Error] = std::from_chars(Begin, End, Port);
+  if (Error != std::errc{} || Last != End || Port == 0)
+    return std::nullopt;
+  return Endpoint{Text.substr(0, Colon), Port};
+}
+
+int main(int Count, char **Arguments) {
+  signal(SIGPIPE, SIG_IGN);
+  for (int Index = 1; Index < Count; ++Index) {
+    if (std::string_view(Arguments[Index]) == "--help") {
+      std::cout << commandHelp();
+      return ExitDone;
+    }
+  }
+  if (const char *Place = std::getenv("MARJORAMBENDCTL_INSTANCE"))
+    FLAGS_instance = Place;
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  const auto Instance = parseEndpoint(FLAGS_instance);
+  if (!Instance) {
+    std::cerr << "marjorambendctl: --instance must be IP:PORT\n";
+    return ExitUsage;
+  }
+  const char *Secret = std::getenv("MARJORAMBEND_OPERATOR_SECRET");
+  EventLoop Loop;
+  OperatorClient Client(Loop, Secret == nullptr ? "" : Secret);
+  const CommandContext Context{.Client_ = Client,
+                               .Instance_ = *Instance,
+                               .IsJson_ = FLAGS_json,
+                               .Wait_ = {FLAGS_wait_ms},
+                               .Expect_ = FLAGS_expect};
+  return runCommand(Context, {Arguments + 1, Arguments + Count});
+}
--- /dev/null
+++ b/tools/load/Faults.h
@@ -0,0 +1,68 @@
+#ifndef MARJORAMBEND_TOOLS_LOAD_FAULTS_H
+#define MARJORAMBEND_TOOLS_LOAD_FAULTS_H
+
+#include <map>
+#include <marjorambend/Transport>
+#include <string>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief One fault of an experiment.
+///
+/// Text form: NAME[:TARGET]@START[+LENGTH], times in milliseconds.
+///   kill:INSTANCE@T          SIGKILL
+///   term:INSTANCE@T          SIGTERM, a planned stop
+///   pause:INSTANCE@T+L       SIGSTOP, and SIGCONT after L
+///   outage@T+L               the platform answers nothing
+///   slow@T+L                 the platform answers 500 ms later
+///   lose:N@T                 the platform loses the answers of N writes
+///   cut:NAME@T+L             the platform hears nothing from an instance or
+///                            data centre
+///   backend:PORT/I=MODE@T+L  the backend server I of the process at PORT
+struct Fault {
+  std::string Name_;
+  std::string Target_;
+  Milliseconds At_;
+  Milliseconds Length_;
+};
+
+/// \brief Why the text of the faults is wrong.
+struct FaultError {
+  std::string What_;
+};
+
+/// \brief Reads faults separated by semicolons.
+tl::expected<std::vector<Fault>, FaultError>
+parseFaults(const std::string &Text);
+
+/// \brief Whom the faults are done to.
+struct FaultTargets {
+  std::map<std::string, int> Processes_; ///< By name of the instance.
+  Endpoint Platform_;
+};
+
+/// \brief Does the faults of a run at their times.
+class FaultSchedule {
+public:
+  FaultSchedule(EventLoop &Loop, HttpClient &Client, FaultTargets Targets);
+
+  /// \brief Starts the clock of the run.
+  void begin(const std::vector<Fault> &Faults);
+
+private:
+  void start(const Fault &Begun);
+  void end(const Fault &Ended);
+  void signal(const Fault &Begun, int Number);
+  void tell(const Endpoint &To, const std::string &Body);
+  void setBackend(const Fault &Begun, bool IsOver);
+
+  EventLoop &Loop_;
+  HttpClient &Client_;
+  FaultTargets Targets_;
+  std::vector<std::unique_ptr<Timer>> Timers_;
+};
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_TOOLS_LOAD_FAULTS_H
--- /dev/null
+++ b/tools/load/Report.h
@@ -0,0 +1,35 @@
+#ifndef MARJORAMBEND_TOOLS_LOAD_REPORT_H
+#define MARJORAMBEND_TOOLS_LOAD_REPORT_H
+
+#include "Callers.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief What the processes counted in a run, summed over each role.
+struct ProcessCounts {
+  std::map<std::string, uint64_t> Instances_; ///< Counters of instances alive.
+  std::map<std::string, uint64_t> Backends_;
+  std::map<std::string, uint64_t> Platform_;
+  uint64_t Lies_ = 0; ///< Jobs refused as not run that had started.
+};
+
+/// \brief Sums up a run as JSON.
+/// \param Throughput of one data centre, for the ideal.
+nlohmann::ordered_json summarise(const Callers &Run, const LoadProfile &Profile,
+                                 const ProcessCounts &Counts,
+                                 double Throughput);
+
+/// \brief The short table for people.
+std::string renderTable(const nlohmann::ordered_json &Summary);
+
+/// \brief Whether the run kept what must always hold.
+bool isSound(const nlohmann::ordered_json &Summary);
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_TOOLS_LOAD_REPORT_H
