Add a simulated world and the at-most-once property (red)

Cause: nothing proved that a task starts at most once. Change: several instances of the real decisions in one process, with a virtual clock and small fakes; ten mistakes can be planted.

--- /dev/null
+++ b/coordination/test/Simulation/AtMostOnce.cpp
@@ -0,0 +1,111 @@
+#include "../TestMain.h"
+#include "World.h"
+
+using namespace marjorambend;
+using namespace marjorambend::test;
+
+namespace {
+
+std::string firstViolation(const WorldReport &Report) {
+  return Report.Violations_.empty() ? std::string{}
+                                    : Report.Violations_.front();
+}
+
+/// \brief Number of worlds until one shows a violation; nothing if none does.
+std::optional<uint64_t> worldsUntilCaught(WorldOptions Options, uint64_t Most) {
+  for (uint64_t World_ = 0; World_ < Most; ++World_) {
+    Options.Seed_ = baseSeed() + World_;
+    if (!World(Options).run().Violations_.empty())
+      return World_ + 1;
+  }
+  return std::nullopt;
+}
+
+constexpr uint64_t MostWorlds = 400;
+
+void checkCaught(const char *Name, Plant Mistake, std::size_t MaxRecords) {
+  const auto Worlds = worldsUntilCaught(
+      {.MaxRecords_ = MaxRecords, .Plant_ = Mistake}, MostWorlds);
+  std::cout << "planted " << Name << ": "
+            << (Worlds ? "caught in world " + std::to_string(*Worlds)
+                       : "not caught")
+            << std::endl;
+  CHECK_TRUE_TEXT(Worlds.has_value(), Name);
+}
+
+} // namespace
+
+TEST_GROUP(InACalmWorld){};
+
+TEST(InACalmWorld, EverySubmissionIsAnsweredComplete) {
+  uint64_t Submissions = 0;
+  uint64_t Complete = 0;
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    const WorldReport Report = World(calmWorld(Seed)).run();
+    STRCMP_EQUAL("", firstViolation(Report).c_str());
+    Submissions += Report.Submissions_;
+    Complete += Report.Complete_;
+  }
+  CHECK(Submissions > 500);
+  // A job may meet a deadline of half a second behind a queue.
+  CHECK(Complete * 100 >= Submissions * 95);
+}
+
+TEST_GROUP(InAnyOrderOfEventsAndFaults){};
+
+TEST(InAnyOrderOfEventsAndFaults, NoTaskStartsTwiceAndNoAnswerIsFalse) {
+  CHECK(rc::check("at most once, whole answers, true refusals", [] {
+    const auto Seed =
+        *rc::gen::noShrink(rc::gen::inRange<uint64_t>(1, uint64_t{1} << 62U));
+    const WorldReport Report = World({.Seed_ = Seed}).run();
+    RC_LOG() << "world seed " << Seed << '\n';
+    RC_ASSERT(firstViolation(Report) == "");
+  }));
+}
+
+TEST(InAnyOrderOfEventsAndFaults, EvenWhenRecordsAreForgottenEarly) {
+  CHECK(rc::check("with room for few records", [] {
+    const auto Seed =
+        *rc::gen::noShrink(rc::gen::inRange<uint64_t>(1, uint64_t{1} << 62U));
+    const WorldReport Report = World({.Seed_ = Seed, .MaxRecords_ = 6}).run();
+    RC_LOG() << "world seed " << Seed << '\n';
+    RC_ASSERT(firstViolation(Report) == "");
+  }));
+}
+
+TEST_GROUP(APlantedMistakeIsCaught){};
+
+TEST(APlantedMistakeIsCaught, StartingWithoutAClaim) {
+  checkCaught("StartWithoutClaim", Plant::StartWithoutClaim, 1'000);
+}
+TEST(APlantedMistakeIsCaught, TakingAClaimWithoutAnswerForHeld) {
+  checkCaught("AssumeLostClaimHeld", Plant::AssumeLostClaimHeld, 1'000);
+}
+TEST(APlantedMistakeIsCaught, StartingInAnOutage) {
+  checkCaught("AssumeHeldInOutage", Plant::AssumeHeldInOutage, 1'000);
+}
+TEST(APlantedMistakeIsCaught, TakingOverFromAnUnreachableHolder) {
+  checkCaught("TakeOverClaim", Plant::TakeOverClaim, 1'000);
+}
+TEST(APlantedMistakeIsCaught, OverwritingAClaim) {
+  checkCaught("OverwriteClaim", Plant::OverwriteClaim, 1'000);
+}
+TEST(APlantedMistakeIsCaught, TrustingTheRowOfAForgottenRecord) {
+  checkCaught("IgnoreNonce", Plant::IgnoreNonce, 6);
+}
+TEST(APlantedMistakeIsCaught, ReusingAnIncarnation) {
+  checkCaught("ReuseIncarnation", Plant::ReuseIncarnation, 1'000);
+}
+TEST(APlantedMistakeIsCaught, SendingALostTaskAgain) {
+  checkCaught("RetryLostTask", Plant::RetryLostTask, 1'000);
+}
+TEST(APlantedMistakeIsCaught, CrossingAnswers) {
+  checkCaught("CrossAnswers", Plant::CrossAnswers, 1'000);
+}
+TEST(APlantedMistakeIsCaught, CallingEveryFailureNotRun) {
+  checkCaught("SayNotRun", Plant::SayNotRun, 1'000);
+}
+
+int main(int Count, char **Arguments) {
+  return runTests(Count, Arguments, 300);
+}
