Add golden files of whole sessions

Change: 21 sessions of one instance as text; an instance that was paused no longer blames the others for the silence, and a refusal for a passed deadline says when to come back (both seen while reading the first golden files).

--- a/coordination/marjorambend/src/Configuration/Catalogue.cpp
+++ b/coordination/marjorambend/src/Configuration/Catalogue.cpp
@@ -12,6 +12,13 @@
 using Json = nlohmann::json;
 using Problems = std::vector<std::string>;
 
+static std::string joined(std::initializer_list<std::string_view> Parts) {
+  std::string Text;
+  for (const std::string_view Part : Parts)
+    Text.append(Part);
+  return Text;
+}
+
 // Reads the members of one object and notes what is wrong with them.
 struct ObjectReader {
   const Json &Object_;
@@ -150,8 +157,8 @@
 static void checkOwners(const Catalogue &All, Problems &Wrong) {
   for (const auto &[Name, Kind] : All.Kinds_) {
     if (All.Teams_.find(Kind.Owner_) == All.Teams_.end())
-      Wrong.push_back("kind \"" + Name + "\": its owner \"" + Kind.Owner_ +
-                      "\" is not among the teams");
+      Wrong.push_back(joined({"kind \"", Name, "\": its owner \"", Kind.Owner_,
+                              "\" is not among the teams"}));
   }
 }
 
@@ -175,19 +182,19 @@
               std::vector<std::string> &Lines) {
   for (const auto &[Name, Old] : Before) {
     if (After.find(Name) == After.end())
-      Lines.push_back("- " + What + " " + Name + " " + toJson(Old).dump());
+      Lines.push_back(joined({"- ", What, " ", Name, " ", toJson(Old).dump()}));
   }
   for (const auto &[Name, New] : After) {
     const auto Found = Before.find(Name);
     if (Found == Before.end()) {
-      Lines.push_back("+ " + What + " " + Name + " " + toJson(New).dump());
+      Lines.push_back(joined({"+ ", What, " ", Name, " ", toJson(New).dump()}));
       continue;
     }
     const Json Old = toJson(Found->second);
     for (const auto &[Member, Value] : toJson(New).items()) {
       if (Old[Member] != Value)
-        Lines.push_back("~ " + What + " " + Name + " " + Member + ": " +
-                        Old[Member].dump() + " -> " + Value.dump());
+        Lines.push_back(joined({"~ ", What, " ", Name, " ", Member, ": ",
+                                Old[Member].dump(), " -> ", Value.dump()}));
     }
   }
 }
--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -90,7 +90,7 @@
     return;
   }
   if (Record.Deadline_ <= T.Now_) {
-    failByState(T, Record, Reason::DeadlinePassed, {});
+    failByState(T, Record, Reason::DeadlinePassed, comeBackTime(T));
     return;
   }
   Record.Class_ = Kind->Urgency_;
--- a/coordination/marjorambend/src/Instance/Instance.cpp
+++ b/coordination/marjorambend/src/Instance/Instance.cpp
@@ -32,13 +32,15 @@
                                       .End_ = T.Now_}});
 }
 
-// A gap between ticks means that the process was paused. Deadlines and links
-// are examined, below, before anything is started.
+// A gap between ticks means that the process was paused. Deadlines are examined,
+// below, before anything is started, and the silence of the others was ours.
 static void noticePause(Turn &T) {
   Instance &State = T.State_;
   const Milliseconds Gap = T.Now_ - State.LastTick_;
   if (State.HasTicked_ && Gap > State.Options_.PauseBound_) {
     increment(State.Counters_, Counter::PausesDetected);
+    for (auto &[Run, Known] : State.Peers_.Peers_)
+      Known.HeardAt_ = T.Now_;
     T.Out_.emplace_back(
         LogChange{"paused for " + std::to_string(Gap.Count_) + " ms"});
   }
--- a/coordination/marjorambend/src/Support/Identity.h
+++ b/coordination/marjorambend/src/Support/Identity.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace marjorambend {
 
@@ -20,7 +21,12 @@
 /// answers for what an earlier run has forgotten.
 struct Incarnation {
   uint64_t Value_ = 0;
-  friend auto operator<=>(const Incarnation &, const Incarnation &) = default;
+  friend bool operator==(Incarnation A, Incarnation B) {
+    return A.Value_ == B.Value_;
+  }
+  friend auto operator<=>(Incarnation A, Incarnation B) {
+    return A.Value_ <=> B.Value_;
+  }
 };
 
 /// \brief Identity of a job: a UUID of version 7 made by the caller, or of
@@ -31,7 +37,12 @@
 struct JobId {
   uint64_t High_ = 0;
   uint64_t Low_ = 0;
-  friend auto operator<=>(const JobId &, const JobId &) = default;
+  friend bool operator==(const JobId &A, const JobId &B) {
+    return A.High_ == B.High_ && A.Low_ == B.Low_;
+  }
+  friend auto operator<=>(const JobId &A, const JobId &B) {
+    return std::tie(A.High_, A.Low_) <=> std::tie(B.High_, B.Low_);
+  }
 };
 
 /// \brief Draws a fresh incarnation.
--- a/coordination/marjorambend/src/Support/Milliseconds.h
+++ b/coordination/marjorambend/src/Support/Milliseconds.h
@@ -12,7 +12,12 @@
 struct Milliseconds {
   int64_t Count_ = 0;
 
-  friend constexpr auto operator<=>(Milliseconds, Milliseconds) = default;
+  friend constexpr bool operator==(Milliseconds A, Milliseconds B) {
+    return A.Count_ == B.Count_;
+  }
+  friend constexpr auto operator<=>(Milliseconds A, Milliseconds B) {
+    return A.Count_ <=> B.Count_;
+  }
   friend constexpr Milliseconds operator+(Milliseconds A, Milliseconds B) {
     return {A.Count_ + B.Count_};
   }
--- /dev/null
+++ b/coordination/test/Golden/Sessions.cpp
@@ -0,0 +1,334 @@
+#include "../TestMain.h"
+#include "Session.h"
+
+#include <marjorambend/Configuration>
+
+using namespace marjorambend;
+using namespace marjorambend::test;
+using namespace marjorambend::literals;
+
+namespace {
+
+constexpr Incarnation Other{0x1234};
+
+PeerConnected otherConnected() {
+  return {.Run_ = Other, .Name_ = "other", .DataCentre_ = "far"};
+}
+
+/// \brief The answer that names this instance, or another, as the holder.
+ClaimsAnswered claimed(const Actions &Wanted, Incarnation Holder) {
+  ClaimsAnswered Answered;
+  for (const Action &One : Wanted) {
+    const auto *Insert = std::get_if<InsertClaims>(&One);
+    if (Insert == nullptr)
+      continue;
+    Answered.Batch_ = Insert->Batch_.Number_;
+    for (const Claim &Claimed : Insert->Batch_.Claims_)
+      Answered.Rows_.push_back(
+          {.Id_ = Claimed.Id_, .Holder_ = Holder, .Nonce_ = Claimed.Nonce_});
+  }
+  return Answered;
+}
+
+ClaimsFailed failed(const Actions &Wanted) {
+  return {claimed(Wanted, {}).Batch_};
+}
+
+TaskFinished succeeded(uint64_t Send) {
+  return {.Send_ = Send, .Result_ = TaskResult::Succeeded, .Body_ = "done"};
+}
+
+/// \brief Submits a job and settles its claim for this instance.
+JobRequest submitHeld(Session &S, uint32_t Number, uint32_t Tasks) {
+  const JobRequest Job = S.job(Number, Tasks);
+  const Actions Wanted = S.happen(JobSubmitted{Number, Job}, 50_ms);
+  S.happen(claimed(Wanted, S.state().Self_), 5_ms);
+  return Job;
+}
+
+void checkGolden(const Session &S) { STRCMP_EQUAL("", S.compare().c_str()); }
+
+} // namespace
+
+TEST_GROUP(AJob){};
+
+TEST(AJob, IsClaimedThenRunThenAnsweredWhole) {
+  Session S("complete");
+  S.prepare();
+  S.tell("a job of two tasks is claimed, run and answered");
+  const JobRequest Job = submitHeld(S, 1, 2);
+  S.happen(succeeded(S.sendOf(Job.Id_, 0)), 50_ms);
+  S.happen(succeeded(S.sendOf(Job.Id_, 1)), 10_ms);
+  S.tell("a resubmission gets the same answer and starts nothing");
+  S.happen(JobSubmitted{2, Job}, 100_ms);
+  checkGolden(S);
+}
+
+TEST(AJob, IsJoinedByAResubmissionWhileItRuns) {
+  Session S("joined");
+  S.prepare();
+  const JobRequest Job = submitHeld(S, 1, 1);
+  S.tell("the second copy arrives while the first runs");
+  S.happen(JobSubmitted{2, Job}, 20_ms);
+  S.happen(succeeded(S.sendOf(Job.Id_, 0)), 20_ms);
+  S.tell("the same identity with other tasks is refused");
+  JobRequest Different = Job;
+  Different.Tasks_[0] = "something else";
+  S.happen(JobSubmitted{3, Different}, 20_ms);
+  checkGolden(S);
+}
+
+TEST(AJob, FailsAsAWholeWhenOneTaskFails) {
+  Session S("one-task-fails");
+  S.prepare();
+  S.tell("six tasks, four slots: four run, two wait");
+  const JobRequest Job = submitHeld(S, 1, 6);
+  S.tell("one fails: the job fails at once, the others are dropped");
+  S.happen(TaskFinished{.Send_ = S.sendOf(Job.Id_, 1),
+                        .Result_ = TaskResult::Failed},
+           30_ms);
+  S.tell("a late answer changes nothing");
+  S.happen(succeeded(S.sendOf(Job.Id_, 0)), 30_ms);
+  S.tell("a resubmission is told the same");
+  S.happen(JobSubmitted{2, Job}, 30_ms);
+  checkGolden(S);
+}
+
+TEST(AJob, WhoseTaskWasRefusedRunsElsewhere) {
+  Session S("refused-task");
+  S.prepare();
+  const JobRequest Job = submitHeld(S, 1, 1);
+  S.tell("the worker says that it has not run the task");
+  S.happen(TaskFinished{.Send_ = S.sendOf(Job.Id_, 0),
+                        .Result_ = TaskResult::Refused},
+           5_ms);
+  S.happen(succeeded(S.sendOf(Job.Id_, 0)), 50_ms);
+  checkGolden(S);
+}
+
+TEST(AJob, WhoseConnectionGoesSilentIsNeverSentAgain) {
+  Session S("silent-connection");
+  S.prepare();
+  submitHeld(S, 1, 1);
+  S.tell("no answer arrives until the task counts as lost");
+  S.pass(2'100_ms);
+  checkGolden(S);
+}
+
+TEST(AJob, CanBeCancelledAndStaysCancelled) {
+  Session S("cancelled");
+  S.prepare();
+  const JobRequest Job = submitHeld(S, 1, 1);
+  S.happen(JobCancelled{Job.Id_}, 10_ms);
+  S.happen(JobSubmitted{2, Job}, 10_ms);
+  checkGolden(S);
+}
+
+TEST_GROUP(WhenTheTableServiceIsOut){};
+
+TEST(WhenTheTableServiceIsOut, AnIdentityOfTheCallersOwnIsNotStarted) {
+  Session S("store-out-own-identity");
+  S.prepare();
+  const JobRequest Job = S.job(1);
+  Actions Wanted = S.happen(JobSubmitted{1, Job}, 50_ms);
+  S.tell("no answer; the claim is repeated until it is given up");
+  S.happen(failed(Wanted), 800_ms);
+  S.pass(1'300_ms);
+  S.tell("the service is back: the same identity runs");
+  Wanted = S.happen(JobSubmitted{2, Job}, 1'000_ms);
+  S.happen(claimed(Wanted, S.state().Self_), 5_ms);
+  S.happen(succeeded(S.sendOf(Job.Id_, 0)), 50_ms);
+  checkGolden(S);
+}
+
+TEST(WhenTheTableServiceIsOut, AReservedIdentityRunsWithoutIt) {
+  Session S("store-out-reserved-identity");
+  S.prepare();
+  JobRequest Job = S.job(1);
+  Job.Id_ = reserveJobIds(S.state(), 1).front();
+  S.tell("no claim is needed: only this instance may start the job");
+  S.happen(JobSubmitted{1, Job}, 50_ms);
+  S.happen(succeeded(S.sendOf(Job.Id_, 0)), 50_ms);
+  checkGolden(S);
+}
+
+TEST(WhenTheTableServiceIsOut, ALostAnswerIsSettledByTheNextTry) {
+  Session S("store-answer-lost");
+  S.prepare();
+  const JobRequest Job = S.job(1);
+  Actions Wanted = S.happen(JobSubmitted{1, Job}, 50_ms);
+  S.tell("the write took effect, its answer was lost");
+  Wanted = S.happen(failed(Wanted), 800_ms);
+  S.happen(claimed(Wanted, S.state().Self_), 5_ms);
+  checkGolden(S);
+}
+
+TEST_GROUP(WhenAnotherInstanceHoldsTheJob){};
+
+TEST(WhenAnotherInstanceHoldsTheJob, TheSubmissionIsForwardedToIt) {
+  Session S("forwarded");
+  S.prepare();
+  S.happen(otherConnected());
+  const JobRequest Job = S.job(1);
+  const Actions Wanted = S.happen(JobSubmitted{1, Job}, 50_ms);
+  const Actions Forwarded = S.happen(claimed(Wanted, Other), 5_ms);
+  uint64_t Token = 0;
+  for (const Action &One : Forwarded) {
+    if (const auto *Sent = std::get_if<SendPeer>(&One))
+      Token = std::get<ForwardedJob>(Sent->Message_).Token_;
+  }
+  S.tell("an answer to nobody is dropped, the right one is passed on");
+  const auto Whole = std::make_shared<const Answer>(
+      Answer{.Id_ = Job.Id_, .Outcome_ = Outcome::Complete, .Results_ = {"r"}});
+  S.happen(PeerReceived{Other, ForwardedAnswer{Token + 7, Whole}}, 20_ms);
+  S.happen(PeerReceived{Other, ForwardedAnswer{Token, Whole}}, 20_ms);
+  checkGolden(S);
+}
+
+TEST(WhenAnotherInstanceHoldsTheJob, AndIsGoneTheAnswerIsThatItMayHaveRun) {
+  Session S("holder-gone");
+  S.prepare();
+  S.happen(otherConnected());
+  const JobRequest Job = S.job(1);
+  const Actions Wanted = S.happen(JobSubmitted{1, Job}, 50_ms);
+  S.happen(claimed(Wanted, Other), 5_ms);
+  S.happen(PeerDisconnected{Other}, 20_ms);
+  S.tell("the link has a second to return");
+  S.pass(1'100_ms);
+  checkGolden(S);
+}
+
+TEST(WhenAnotherInstanceHoldsTheJob, AndIsSilentItsLinkIsReplaced) {
+  Session S("holder-silent");
+  S.prepare();
+  S.happen(otherConnected());
+  S.pass(3'100_ms);
+  S.tell("a new connection works: the instance is back");
+  S.happen(otherConnected(), 200_ms);
+  checkGolden(S);
+}
+
+TEST_GROUP(AnInstanceThatWasPaused){};
+
+TEST(AnInstanceThatWasPaused, ExaminesDeadlinesBeforeItStartsAnything) {
+  Session S("paused");
+  S.prepare();
+  const JobRequest Job = S.job(1);
+  const Actions Wanted = S.happen(JobSubmitted{1, Job}, 50_ms);
+  S.tell("paused for five seconds between the claim and the start");
+  S.freeze(5'000_ms);
+  S.happen(claimed(Wanted, S.state().Self_), 0_ms);
+  S.pass(10_ms);
+  checkGolden(S);
+}
+
+TEST_GROUP(TheCatalogue){};
+
+TEST(TheCatalogue, NeverStepsBack) {
+  Session S("catalogue-never-steps-back");
+  S.prepare();
+  const std::string Text = S.state().Config_.Text_;
+  S.happen(RowRead{"catalogue", 3, packCatalogue(1, Text)}, 100_ms);
+  S.tell("a stale read and a stale instance change nothing");
+  S.happen(RowRead{"catalogue", 2, packCatalogue(1, Text)}, 100_ms);
+  S.happen(otherConnected());
+  S.happen(PeerReceived{Other, CatalogueUpdate{2, Text}}, 100_ms);
+  S.tell("a newer one that fails its checks is not adopted");
+  S.happen(PeerReceived{Other, CatalogueUpdate{4, "nonsense"}}, 100_ms);
+  CHECK_EQUAL(3, S.state().Config_.Version_);
+  checkGolden(S);
+}
+
+TEST(TheCatalogue, HasOneWinnerWhenOperatorsRace) {
+  Session S("catalogue-race");
+  S.prepare();
+  const std::string Text = S.state().Config_.Text_;
+  S.happen(CatalogueSubmitted{1, 1, Text}, 100_ms);
+  S.tell("the row in force afterwards is another writer's");
+  S.happen(RowSwapped{"catalogue", 2, packCatalogue(99, Text)}, 5_ms);
+  checkGolden(S);
+}
+
+TEST(TheCatalogue, SettlesAWriteWhoseAnswerWasLost) {
+  Session S("catalogue-answer-lost");
+  S.prepare();
+  const std::string Text = S.state().Config_.Text_;
+  const Actions Wanted = S.happen(CatalogueSubmitted{1, 1, Text}, 100_ms);
+  const auto &Swap = std::get<SwapRow>(Wanted.front());
+  S.happen(RowSwapFailed{"catalogue"}, 600_ms);
+  S.tell("the same write is repeated and finds its own nonce");
+  S.pass(200_ms);
+  S.happen(RowSwapped{"catalogue", 2, Swap.Value_}, 5_ms);
+  checkGolden(S);
+}
+
+TEST(TheCatalogue, ReachesANewInstanceWhileTheTableServiceIsOut) {
+  Session S("catalogue-from-an-instance");
+  S.pass(10_ms);
+  CHECK_FALSE(isReady(S.state()));
+  S.happen(RowReadFailed{"catalogue"}, 800_ms);
+  S.happen(otherConnected(), 10_ms);
+  S.happen(PeerReceived{Other, Heartbeat{.CatalogueVersion_ = 5}}, 10_ms);
+  S.happen(
+      PeerReceived{Other, CatalogueUpdate{5, R"({"teams":[],"kinds":[]})"}},
+      10_ms);
+  CHECK_TRUE(isReady(S.state()));
+  checkGolden(S);
+}
+
+TEST_GROUP(ALeavingWorker){};
+
+TEST(ALeavingWorker, GetsNoNewWorkWhoeverSaysSoFirst) {
+  Session S("leaving-worker");
+  S.prepare();
+  S.tell("the operator drains one, the other says so itself");
+  S.happen(DrainOrdered{"worker/w0", true}, 100_ms);
+  const JobRequest Job = submitHeld(S, 1, 1);
+  S.happen(TaskFinished{.Send_ = S.sendOf(Job.Id_, 0),
+                        .Result_ = TaskResult::RefusedLeaving},
+           5_ms);
+  S.tell("no worker is left; the job waits until one is");
+  S.pass(100_ms);
+  S.happen(DrainOrdered{"worker/w0", false}, 100_ms);
+  checkGolden(S);
+}
+
+TEST(ALeavingWorker, IsLearntFromAnotherInstanceWhileTheServiceIsOut) {
+  Session S("drain-from-an-instance");
+  S.prepare();
+  S.happen(otherConnected());
+  DrainMap Map;
+  orderDrain(Map, "worker/w0", true, Other);
+  orderDrain(Map, "worker/w1", true, Other);
+  S.happen(PeerReceived{Other, DrainUpdate{Map}}, 50_ms);
+  S.tell("no slot is left: a new job is refused at once");
+  submitHeld(S, 1, 1);
+  checkGolden(S);
+}
+
+TEST_GROUP(APlannedStop){};
+
+TEST(APlannedStop, FinishesWhatIsInFlight) {
+  Session S("planned-stop");
+  S.prepare();
+  const JobRequest Job = submitHeld(S, 1, 1);
+  S.happen(StopOrdered{}, 10_ms);
+  CHECK_FALSE(isReady(S.state()));
+  CHECK_FALSE(isIdle(S.state()));
+  CHECK_TRUE(reserveJobIds(S.state(), 1).empty());
+  S.happen(succeeded(S.sendOf(Job.Id_, 0)), 50_ms);
+  CHECK_TRUE(isIdle(S.state()));
+  checkGolden(S);
+}
+
+TEST(APlannedStop, ThatIsForcedAnswersWhatIsLeft) {
+  Session S("forced-stop");
+  S.prepare();
+  submitHeld(S, 1, 1);
+  S.happen(StopOrdered{}, 10_ms);
+  S.happen(StopForced{}, 100_ms);
+  CHECK_TRUE(isIdle(S.state()));
+  checkGolden(S);
+}
+
+int main(int Count, char **Arguments) { return runTests(Count, Arguments, 1); }
--- /dev/null
+++ b/scripts/install-packages.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Installs what the build, the tests and the checks need, by Debian's packages.
+set -euo pipefail
+run=""
+[ "$(id -u)" = 0 ] || run=sudo
+$run apt-get update -qq
+DEBIAN_FRONTEND=noninteractive $run apt-get install -y -qq --no-install-recommends \
+  g++ cmake ninja-build git gawk curl clang-format clang-tidy \
+  libevent-dev libevhtp-dev libssl-dev libflatbuffers-dev flatbuffers-compiler \
+  libgflags-dev libspdlog-dev libexpected-dev nlohmann-json3-dev libxxhash-dev \
+  libpcg-cpp-dev libcpputest-dev librapidcheck-dev libbenchmark-dev > /dev/null
--- a/tools/load/Report.cpp
+++ b/tools/load/Report.cpp
@@ -22,7 +22,7 @@
   if (Sorted.empty())
     return 0;
   const auto Rank = static_cast<std::size_t>(
-      Share * static_cast<double>(Sorted.size() - 1) + 0.5);
+      std::lround(Share * static_cast<double>(Sorted.size() - 1)));
   return round3(Sorted[Rank]);
 }
 
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -125,7 +125,8 @@
             .MaxTasks_ = FLAGS_max_tasks};
   }
 
-  void ask(HttpCall Call, std::function<void(const std::string &)> OnBody) {
+  void ask(HttpCall Call,
+           const std::function<void(const std::string &)> &OnBody) {
     ++Asked_;
     Call.Timeout_ = Milliseconds{3'000};
     Client_.send(Call, [this, OnBody](const HttpResult &Result) {
--- a/transport/marjorambend/src/Transport/HttpClient.h
+++ b/transport/marjorambend/src/Transport/HttpClient.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -23,7 +24,12 @@
 struct Endpoint {
   std::string Address_;
   uint16_t Port_ = 0;
-  friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+  friend bool operator==(const Endpoint &A, const Endpoint &B) {
+    return A.Address_ == B.Address_ && A.Port_ == B.Port_;
+  }
+  friend auto operator<=>(const Endpoint &A, const Endpoint &B) {
+    return std::tie(A.Address_, A.Port_) <=> std::tie(B.Address_, B.Port_);
+  }
 };
 
 /// \brief One request of a client.
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -123,7 +123,8 @@
       State->IsReceiving_ = false;
       State->Due_ = monotonicNow() + Server.Options_.IdleTimeout_;
     }
-    const auto Token = reinterpret_cast<uintptr_t>(Request->cbarg);
+    const uint64_t Token = Server.tokenOf(Request);
+    Server.Tokens_.erase(Request);
     if (Server.Requests_.erase(Token) > 0 && Server.OnGone_)
       Server.OnGone_(Token);
     return EVHTP_RES_OK;
@@ -216,7 +217,6 @@
 
 void HttpServer::serve(evhtp_request_t *Request) {
   const uint64_t Token = NextToken_++;
-  Request->cbarg = reinterpret_cast<void *>(Token);
   evhtp_request_set_hook(
       Request, evhtp_hook_on_request_fini,
       HttpServerHooks::asHook(HttpServerHooks::onRequestFini), this);
@@ -238,11 +238,17 @@
   Whole.Body_.resize(evbuffer_get_length(Request->buffer_in));
   evbuffer_remove(Request->buffer_in, Whole.Body_.data(), Whole.Body_.size());
   Requests_[Token] = Request;
+  Tokens_[Request] = Token;
   evhtp_request_pause(Request);
   if (const auto Reply = OnRequest_(std::move(Whole)))
     reply(Token, *Reply);
 }
 
+uint64_t HttpServer::tokenOf(evhtp_request_t *Request) const {
+  const auto Found = Tokens_.find(Request);
+  return Found == Tokens_.end() ? 0 : Found->second;
+}
+
 void HttpServer::reply(uint64_t Token, const HttpReply &Reply) {
   const auto Found = Requests_.find(Token);
   if (Found == Requests_.end())
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -81,13 +81,15 @@
 
   void sweep();
   void serve(evhtp_request *Request);
+  uint64_t tokenOf(evhtp_request *Request) const;
 
   EventLoop &Loop_;
   HttpServerOptions Options_;
   Handler OnRequest_;
   GoneHandler OnGone_;
   evhtp *Server_ = nullptr;
-  std::unordered_map<uint64_t, evhtp_request *> Requests_;
+  std::unordered_map<uint64_t, evhtp_request *> Requests_; ///< Unanswered.
+  std::unordered_map<evhtp_request *, uint64_t> Tokens_;
   std::unordered_map<evhtp_connection *, std::unique_ptr<Connection>>
       Connections_;
   std::unique_ptr<Timer> Sweep_;
