Test the transport package; verify that a frame has a body

Cause: the property over changed bytes crashed the decoder (segmentation fault): a union may name a type and have no value, which verification accepts. Ruled out: the verifier itself, which saw the buffer. Conclusion: verification does not replace the check for a missing union.

--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -215,6 +215,14 @@
   return {};
 }
 
+uint16_t HttpServer::port() const {
+  sockaddr_in Address{};
+  socklen_t Length = sizeof(Address);
+  getsockname(evconnlistener_get_fd(Server_->server),
+              reinterpret_cast<sockaddr *>(&Address), &Length);
+  return ntohs(Address.sin_port);
+}
+
 void HttpServer::serve(evhtp_request_t *Request) {
   const uint64_t Token = NextToken_++;
   evhtp_request_set_hook(
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -65,6 +65,9 @@
   /// \brief Opens the listener.
   tl::expected<void, ListenError> listen();
 
+  /// \brief The port that was opened; useful if port 0 was asked for.
+  uint16_t port() const;
+
   /// \brief Answers a request; nothing happens if its sender is gone.
   void reply(uint64_t Token, const HttpReply &Reply);
 
--- a/transport/marjorambend/src/Transport/PeerCodec.cpp
+++ b/transport/marjorambend/src/Transport/PeerCodec.cpp
@@ -165,6 +165,9 @@
 }
 
 static tl::expected<PeerContent, FrameError> readBody(const wire::Frame &M) {
+  // A union may name a type and yet have no value.
+  if (M.body() == nullptr)
+    return tl::unexpected(FrameError::Malformed);
   switch (M.body_type()) {
   case wire::Body::Hello:
     return read(*M.body_as_Hello());
--- /dev/null
+++ b/transport/test/CallerApiTests.cpp
@@ -0,0 +1,104 @@
+#include "TestMain.h"
+
+#include <marjorambend/Transport>
+#include <nlohmann/json.hpp>
+
+using namespace marjorambend;
+
+TEST_GROUP(ACallersRequest) {
+  HttpRequest Request{
+      .Method_ = "POST",
+      .Path_ = "/v1/jobs",
+      .Headers_ = {{header::JobId, "0193a3c8-7c00-7000-8000-000000000001"},
+                   {header::Team, "team"},
+                   {header::Timeout, "2000"}},
+      .Body_ = R"({"kind":"payout","tasks":["a","b"]})"};
+  const Milliseconds MaxTimeout{60'000};
+
+  void drop(const std::string &Name) {
+    std::erase_if(Request.Headers_,
+                  [&](const auto &Pair) { return Pair.first == Name; });
+  }
+  void checkRefused(Reason Why, uint16_t Status) {
+    const auto Job = parseJob(Request, MaxTimeout);
+    CHECK_FALSE(Job.has_value());
+    CHECK(Job.error().Reason_ == Why);
+    const HttpReply Reply = formatError(Job.error());
+    CHECK_EQUAL(Status, Reply.Status_);
+    STRCMP_EQUAL(
+        "not_run",
+        std::string(findHeader(Reply.Headers_, header::Outcome)).c_str());
+  }
+};
+
+TEST(ACallersRequest, IsReadAsAJob) {
+  const auto Job = parseJob(Request, MaxTimeout);
+  CHECK(Job.has_value());
+  STRCMP_EQUAL("payout", Job->Kind_.c_str());
+  CHECK_EQUAL(2, Job->Tasks_.size());
+  CHECK_EQUAL(2000, Job->Timeout_.Count_);
+}
+
+TEST(ACallersRequest, WithoutIdentityIsRefused) {
+  drop(header::JobId);
+  checkRefused(Reason::MissingIdentity, 400);
+}
+
+TEST(ACallersRequest, WithAWrongIdentityIsRefused) {
+  Request.Headers_[0].second = "0193a3c8-7c00-4000-8000-000000000001";
+  checkRefused(Reason::MalformedRequest, 400);
+}
+
+TEST(ACallersRequest, WithoutTeamOrTimeoutIsRefused) {
+  drop(header::Team);
+  checkRefused(Reason::MalformedRequest, 400);
+  Request.Headers_.emplace_back(header::Team, "team");
+  drop(header::Timeout);
+  checkRefused(Reason::MalformedRequest, 400);
+}
+
+TEST(ACallersRequest, WithAMalformedBodyIsRefused) {
+  for (const char *Body :
+       {"", "{", "[]", R"({"tasks":["a"]})", R"({"kind":"payout"})",
+        R"({"kind":"payout","tasks":[]})", R"({"kind":"payout","tasks":[1]})",
+        R"({"kind":7,"tasks":["a"]})"}) {
+    Request.Body_ = Body;
+    checkRefused(Reason::MalformedRequest, 400);
+  }
+}
+
+TEST(ACallersRequest, WithMoreThanAThousandTasksIsRefused) {
+  nlohmann::json Body{{"kind", "payout"},
+                      {"tasks", std::vector<std::string>(1000, "a")}};
+  Request.Body_ = Body.dump();
+  CHECK(parseJob(Request, MaxTimeout).has_value());
+  Body["tasks"].push_back("one too many");
+  Request.Body_ = Body.dump();
+  checkRefused(Reason::MalformedRequest, 400);
+}
+
+TEST_GROUP(AnAnswer){
+    static HttpReply format(Outcome What, Reason Why){return formatAnswer(
+        {.Id_ = {1, 2}, .Outcome_ = What, .Reason_ = Why, .RetryAfter_ = {1}},
+        false);
+}
+}
+;
+
+TEST(AnAnswer, CanBeToldApartByStatusAndField) {
+  CHECK_EQUAL(200, format(Outcome::Complete, Reason::None).Status_);
+  CHECK_EQUAL(503, format(Outcome::NotRun, Reason::QueueFull).Status_);
+  CHECK_EQUAL(429, format(Outcome::NotRun, Reason::QuotaExceeded).Status_);
+  CHECK_EQUAL(404, format(Outcome::NotRun, Reason::UnknownKind).Status_);
+  CHECK_EQUAL(502, format(Outcome::MayHaveRun, Reason::TaskLost).Status_);
+  CHECK_EQUAL(504, format(Outcome::MayHaveRun, Reason::DeadlinePassed).Status_);
+  CHECK_EQUAL(409, format(Outcome::MayHaveRun, Reason::IdentityReused).Status_);
+}
+
+TEST(AnAnswer, SaysWhenToComeBack) {
+  const HttpReply Reply = format(Outcome::NotRun, Reason::QueueFull);
+  CHECK(findHeader(Reply.Headers_, "Retry-After") == "1");
+  const auto Body = nlohmann::json::parse(Reply.Body_);
+  CHECK_EQUAL(1, Body["retry_after_ms"].get<int>());
+  CHECK_TRUE(Body["new_identity_is_safe"].get<bool>());
+}
