--- a/coordination/marjorambend/src/Configuration/Catalogue.cpp
+++ b/coordination/marjorambend/src/Configuration/Catalogue.cpp
@@ -191,7 +191,8 @@
       continue;
     }
     const Json Old = toJson(Found->second);
-    for (const auto &[Member, Value] : toJson(New).items()) {
+    const Json Current = toJson(New);
+    for (const auto &[Member, Value] : Current.items()) {
       if (Old[Member] != Value)
         Lines.push_back(joined({"~ ", What, " ", Name, " ", Member, ": ",
                                 Old[Member].dump(), " -> ", Value.dump()}));
