--- a/coordination/marjorambend/src/Instance/Instance.cpp
+++ b/coordination/marjorambend/src/Instance/Instance.cpp
@@ -32,8 +32,9 @@
                                       .End_ = T.Now_}});
 }
 
-// A gap between ticks means that the process was paused. Deadlines are examined,
-// below, before anything is started, and the silence of the others was ours.
+// A gap between ticks means that the process was paused. Deadlines are
+// examined, below, before anything is started, and the silence of the others
+// was ours.
 static void noticePause(Turn &T) {
   Instance &State = T.State_;
   const Milliseconds Gap = T.Now_ - State.LastTick_;
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# Passes all checks: generated code, format, build, linter, tests, tests with
+# sanitizers, and an embedding example. Needs no network but for the packages.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BUILD=${MARJORAMBEND_TEST_BUILD:-build-test}
+
+step() { printf '\n== %s\n' "$*"; }
+
+step "packages"
+scripts/install-packages.sh
+
+step "generated code is up to date"
+scripts/generate.sh
+if [ -n "$(git status --porcelain -- transport/generated docs/SETTINGS.md)" ]; then
+  git --no-pager diff --stat -- transport/generated docs/SETTINGS.md
+  echo "run scripts/generate.sh and commit its results"
+  exit 1
+fi
+
+step "format"
+git ls-files '*.h' '*.cpp' | grep -v '/generated/' |
+  xargs clang-format --dry-run -Werror
+
+step "build"
+cmake -S . -B "$BUILD" -G Ninja > "$BUILD-configure.log" 2>&1 ||
+  { cat "$BUILD-configure.log"; exit 1; }
+ninja -C "$BUILD" | tail -n 1
+
+step "linter"
+scripts/run-clang-tidy.sh "$BUILD" > "$BUILD-tidy.log" 2>&1 || {
+  grep -E "error|warning:" "$BUILD-tidy.log" | sort -u | head -n 50
+  exit 1
+}
+echo "clang-tidy is clean"
+
+step "installed library and example"
+cmake --install "$BUILD" --prefix "$PWD/$BUILD/prefix" > /dev/null
+cmake -S examples -B "$BUILD/examples" -G Ninja \
+  -DCMAKE_PREFIX_PATH="$PWD/$BUILD/prefix" > /dev/null
+ninja -C "$BUILD/examples" | tail -n 1
+"$BUILD/examples/worker_choice"
+
+step "build with AddressSanitizer and UBSan"
+cmake -S . -B "$BUILD-sanitize" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+  -DMARJORAMBEND_SANITIZE=ON > "$BUILD-configure.log" 2>&1 ||
+  { cat "$BUILD-configure.log"; exit 1; }
+ninja -C "$BUILD-sanitize" | tail -n 1
+
+step "known red tests"
+if [ -s KNOWN-RED.txt ]; then cat KNOWN-RED.txt; else echo "none"; fi
+
+step "tests with sanitizers"
+ctest --test-dir "$BUILD-sanitize" --output-on-failure --timeout 300 -j 4
+
+step "tests"
+ctest --test-dir "$BUILD" --output-on-failure --timeout 300 -j 4
