Name the members of test groups like all others

Cause: the house style ends data members in an underscore, tests included; the linter now covers the product's own sources, headers included. Result: module, session and transport tests pass as before.

--- a/coordination/marjorambend/src/Configuration/Catalogue.cpp
+++ b/coordination/marjorambend/src/Configuration/Catalogue.cpp
@@ -150,7 +150,7 @@
     Spec One = ReadOne(ObjectReader{Item, Place, Wrong, {}});
     const std::string Key = One.Name_;
     if (!Into.emplace(Key, std::move(One)).second)
-      Wrong.push_back(Place + ": \"" + Key + "\" stands twice");
+      Wrong.push_back(joined({Place, ": \"", Key, "\" stands twice"}));
   }
 }
 
--- a/coordination/test/Admission/AdmissionTests.cpp
+++ b/coordination/test/Admission/AdmissionTests.cpp
@@ -6,18 +6,18 @@
 using namespace marjorambend::literals;
 
 TEST_GROUP(Admitting) {
-  Admission State;
-  AdmissionOptions Options{.MaxQueuedTasks_ = 100, .MaxQueuedBytes_ = 1'000};
-  Random Generator{3};
-  JobDemand Demand{.Team_ = "team",
-                   .Tasks_ = 10,
-                   .Bytes_ = 100,
-                   .TaskMs_ = 100,
-                   .Remaining_ = 1'000_ms};
-  static constexpr uint32_t Slots = 10;
+  Admission State_;
+  AdmissionOptions Options_{.MaxQueuedTasks_ = 100, .MaxQueuedBytes_ = 1'000};
+  Random Generator_{3};
+  JobDemand Demand_{.Team_ = "team",
+                    .Tasks_ = 10,
+                    .Bytes_ = 100,
+                    .TaskMs_ = 100,
+                    .Remaining_ = 1'000_ms};
+  static constexpr uint32_t Slots_ = 10;
 
   Reason verdict() {
-    const auto Verdict = admit(State, Options, Demand, Slots, Generator);
+    const auto Verdict = admit(State_, Options_, Demand_, Slots_, Generator_);
     return Verdict ? Reason::None : Verdict.error().Reason_;
   }
 };
@@ -27,41 +27,41 @@
 }
 
 TEST(Admitting, RefusesAtOnceWhatCannot) {
-  Demand.Remaining_ = 99_ms;
+  Demand_.Remaining_ = 99_ms;
   CHECK(verdict() == Reason::DeadlineTooShort);
 }
 
 TEST(Admitting, CountsTheWorkAheadOfTheSameClassOrAMoreUrgentOne) {
-  JobDemand Ahead = Demand;
+  JobDemand Ahead = Demand_;
   Ahead.Tasks_ = 90;
   Ahead.Class_ = 1;
   Ahead.Bytes_ = 0;
-  noteAdmitted(State, Ahead);
-  Demand.Remaining_ = 500_ms;
+  noteAdmitted(State_, Ahead);
+  Demand_.Remaining_ = 500_ms;
   CHECK(verdict() == Reason::None);
-  Demand.Class_ = 1;
+  Demand_.Class_ = 1;
   CHECK(verdict() == Reason::DeadlineTooShort);
 }
 
 TEST(Admitting, BoundsTasksAndBytes) {
-  Demand.Tasks_ = 101;
-  Demand.TaskMs_ = 1;
+  Demand_.Tasks_ = 101;
+  Demand_.TaskMs_ = 1;
   CHECK(verdict() == Reason::QueueFull);
-  Demand.Tasks_ = 1;
-  Demand.Bytes_ = 1'001;
+  Demand_.Tasks_ = 1;
+  Demand_.Bytes_ = 1'001;
   CHECK(verdict() == Reason::QueueFull);
 }
 
 TEST(Admitting, HoldsATeamToItsQuota) {
-  Demand.TeamQuota_ = 15;
-  noteAdmitted(State, Demand);
+  Demand_.TeamQuota_ = 15;
+  noteAdmitted(State_, Demand_);
   CHECK(verdict() == Reason::QuotaExceeded);
-  noteDone(State, "team", 5);
+  noteDone(State_, "team", 5);
   CHECK(verdict() == Reason::None);
 }
 
 TEST(Admitting, RefusesWhenThereIsNoWorker) {
-  const auto Verdict = admit(State, Options, Demand, 0, Generator);
+  const auto Verdict = admit(State_, Options_, Demand_, 0, Generator_);
   CHECK(Verdict.error().Reason_ == Reason::NoWorker);
 }
 
@@ -69,7 +69,8 @@
   int64_t Least = INT64_MAX;
   int64_t Most = 0;
   for (int Time = 0; Time < 200; ++Time) {
-    const int64_t After = spreadRetryAfter(Options, 1'000_ms, Generator).Count_;
+    const int64_t After =
+        spreadRetryAfter(Options_, 1'000_ms, Generator_).Count_;
     Least = std::min(Least, After);
     Most = std::max(Most, After);
   }
@@ -78,26 +79,26 @@
 }
 
 TEST(Admitting, IsEmptyAgainAfterEverythingLeft) {
-  noteAdmitted(State, Demand);
-  noteUnqueued(State, 0, 10, 100, 100);
-  noteRequeued(State, 0, 10, 100);
-  noteUnqueued(State, 0, 1, 10, 100);
-  noteDone(State, "team", 10);
-  CHECK_EQUAL(0, State.QueuedTasks_);
-  CHECK_EQUAL(0, State.QueuedBytes_);
-  CHECK_TRUE(State.TeamTasks_.empty());
+  noteAdmitted(State_, Demand_);
+  noteUnqueued(State_, 0, 10, 100, 100);
+  noteRequeued(State_, 0, 10, 100);
+  noteUnqueued(State_, 0, 1, 10, 100);
+  noteDone(State_, "team", 10);
+  CHECK_EQUAL(0, State_.QueuedTasks_);
+  CHECK_EQUAL(0, State_.QueuedBytes_);
+  CHECK_TRUE(State_.TeamTasks_.empty());
 }
 
 TEST_GROUP(TheRetryBudget) {
-  RetryBudget Budget{.Tokens_ = 1};
-  RetryOptions Options{.ShareOfSuccess_ = 0.5};
+  RetryBudget Budget_{.Tokens_ = 1};
+  RetryOptions Options_{.ShareOfSuccess_ = 0.5};
 };
 
 TEST(TheRetryBudget, IsAShareOfSuccesses) {
-  CHECK_TRUE(spendRetry(Budget, Options));
-  CHECK_FALSE(spendRetry(Budget, Options));
-  earnRetry(Budget, Options);
-  CHECK_FALSE(spendRetry(Budget, Options));
-  earnRetry(Budget, Options);
-  CHECK_TRUE(spendRetry(Budget, Options));
+  CHECK_TRUE(spendRetry(Budget_, Options_));
+  CHECK_FALSE(spendRetry(Budget_, Options_));
+  earnRetry(Budget_, Options_);
+  CHECK_FALSE(spendRetry(Budget_, Options_));
+  earnRetry(Budget_, Options_);
+  CHECK_TRUE(spendRetry(Budget_, Options_));
 }
--- a/coordination/test/Claims/ClaimBatcherTests.cpp
+++ b/coordination/test/Claims/ClaimBatcherTests.cpp
@@ -6,50 +6,50 @@
 using namespace marjorambend::literals;
 
 TEST_GROUP(ClaimBatching) {
-  ClaimBatcher Batcher;
-  ClaimOptions Options{.RowsPerBatch_ = 3, .MaxWaiting_ = 4};
+  ClaimBatcher Batcher_;
+  ClaimOptions Options_{.RowsPerBatch_ = 3, .MaxWaiting_ = 4};
 
   bool enqueue(uint64_t Number, Milliseconds Now = 0_ms) {
-    return enqueueClaim(Batcher, Options, {.Id_ = {0, Number}}, Now);
+    return enqueueClaim(Batcher_, Options_, {.Id_ = {0, Number}}, Now);
   }
 };
 
 TEST(ClaimBatching, SendsTheFirstClaimAtOnceAndGathersTheOthers) {
   enqueue(1);
-  const auto First = nextBatch(Batcher, Options, 0_ms);
+  const auto First = nextBatch(Batcher_, Options_, 0_ms);
   CHECK_EQUAL(1, First->Claims_.size());
   enqueue(2);
   enqueue(3);
-  CHECK_FALSE(nextBatch(Batcher, Options, 5_ms).has_value());
-  finishBatch(Batcher, First->Number_);
-  CHECK_FALSE(nextBatch(Batcher, Options, 19_ms).has_value());
-  CHECK_EQUAL(2, nextBatch(Batcher, Options, 20_ms)->Claims_.size());
+  CHECK_FALSE(nextBatch(Batcher_, Options_, 5_ms).has_value());
+  finishBatch(Batcher_, First->Number_);
+  CHECK_FALSE(nextBatch(Batcher_, Options_, 19_ms).has_value());
+  CHECK_EQUAL(2, nextBatch(Batcher_, Options_, 20_ms)->Claims_.size());
 }
 
 TEST(ClaimBatching, IsBoundedInRowsAndInWaitingClaims) {
   for (uint64_t Number = 0; Number < 4; ++Number)
     CHECK_TRUE(enqueue(Number));
   CHECK_FALSE(enqueue(5));
-  CHECK_EQUAL(3, nextBatch(Batcher, Options, 0_ms)->Claims_.size());
+  CHECK_EQUAL(3, nextBatch(Batcher_, Options_, 0_ms)->Claims_.size());
 }
 
 TEST(ClaimBatching, RepeatsABatchWithoutAnswerUnderANewNumber) {
   enqueue(1);
-  const auto First = nextBatch(Batcher, Options, 0_ms);
-  CHECK_FALSE(nextBatch(Batcher, Options, 799_ms).has_value());
-  const auto Second = nextBatch(Batcher, Options, 800_ms);
+  const auto First = nextBatch(Batcher_, Options_, 0_ms);
+  CHECK_FALSE(nextBatch(Batcher_, Options_, 799_ms).has_value());
+  const auto Second = nextBatch(Batcher_, Options_, 800_ms);
   CHECK_EQUAL(1, Second->Claims_.size());
   CHECK(Second->Number_ != First->Number_);
-  CHECK_FALSE(finishBatch(Batcher, First->Number_));
-  CHECK_TRUE(finishBatch(Batcher, Second->Number_));
+  CHECK_FALSE(finishBatch(Batcher_, First->Number_));
+  CHECK_TRUE(finishBatch(Batcher_, Second->Number_));
 }
 
 TEST(ClaimBatching, GivesUpWhatHasWaitedTooLong) {
   enqueue(1, 0_ms);
   enqueue(2, 1'500_ms);
-  const auto GivenUp = giveUpClaims(Batcher, Options, 2'000_ms);
+  const auto GivenUp = giveUpClaims(Batcher_, Options_, 2'000_ms);
   CHECK_EQUAL(1, GivenUp.size());
-  CHECK(GivenUp.front() == JobId(0, 1));
+  CHECK(GivenUp.front() == (JobId{0, 1}));
 }
 
 TEST(ClaimBatching, KeepsTheRowsOfOneIntervalUnderOnePrefix) {
--- a/coordination/test/Configuration/CatalogueTests.cpp
+++ b/coordination/test/Configuration/CatalogueTests.cpp
@@ -60,7 +60,7 @@
   STRCMP_EQUAL("~ kind k urgency: 2 -> 1", Lines[2].c_str());
 }
 
-TEST_GROUP(TheVersionInForce) { ConfigState State; };
+TEST_GROUP(TheVersionInForce) { ConfigState State_; };
 
 TEST(TheVersionInForce, OnlyGrows) {
   CHECK(rc::check("whatever arrives, the version never falls", [] {
--- a/coordination/test/Jobs/FairQueueTests.cpp
+++ b/coordination/test/Jobs/FairQueueTests.cpp
@@ -6,14 +6,14 @@
 using namespace marjorambend::literals;
 
 TEST_GROUP(TheQueue) {
-  FairQueue Queue;
+  FairQueue Queue_;
 
   void push(const char *Team, uint64_t Job, Milliseconds Key, uint8_t Class = 0,
             double Weight = 1) {
-    pushJob(Queue, Team, Weight,
+    pushJob(Queue_, Team, Weight,
             {.Id_ = {0, Job}, .Class_ = Class, .OrderKey_ = Key});
   }
-  uint64_t front() const { return frontJob(Queue)->Low_; }
+  uint64_t front() const { return frontJob(Queue_)->Low_; }
 };
 
 TEST(TheQueue, ServesTheMostUrgentClassFirst) {
@@ -26,7 +26,7 @@
   push("a", 1, 200_ms);
   push("a", 2, 100_ms);
   CHECK_EQUAL(2, front());
-  removeJob(Queue, "a", {.Id_ = {0, 2}, .OrderKey_ = 100_ms});
+  removeJob(Queue_, "a", {.Id_ = {0, 2}, .OrderKey_ = 100_ms});
   CHECK_EQUAL(1, front());
 }
 
@@ -37,7 +37,7 @@
   for (int Turn = 0; Turn < 400; ++Turn) {
     const uint64_t Job = front();
     ++Served[Job];
-    chargeTeam(Queue, Job == 1 ? "light" : "heavy", 0, 100_ms);
+    chargeTeam(Queue_, Job == 1 ? "light" : "heavy", 0, 100_ms);
   }
   CHECK(Served[1] >= 99 && Served[1] <= 101);
 }
@@ -45,13 +45,13 @@
 TEST(TheQueue, GivesAnIdleTeamNoCredit) {
   push("busy", 1, 0_ms);
   for (int Turn = 0; Turn < 100; ++Turn)
-    chargeTeam(Queue, "busy", 0, 100_ms);
+    chargeTeam(Queue_, "busy", 0, 100_ms);
   push("new", 2, 0_ms);
   std::map<uint64_t, int> Served;
   for (int Turn = 0; Turn < 20; ++Turn) {
     const uint64_t Job = front();
     ++Served[Job];
-    chargeTeam(Queue, Job == 1 ? "busy" : "new", 0, 100_ms);
+    chargeTeam(Queue_, Job == 1 ? "busy" : "new", 0, 100_ms);
   }
   CHECK(Served[1] >= 9);
 }
--- a/coordination/test/Membership/MembershipTests.cpp
+++ b/coordination/test/Membership/MembershipTests.cpp
@@ -57,24 +57,24 @@
 }
 
 TEST_GROUP(SlotSharing) {
-  WorkerTable Workers;
-  PeerTable Peers;
-  static constexpr Incarnation Self{5};
+  WorkerTable Workers_;
+  PeerTable Peers_;
+  static constexpr Incarnation Self_{5};
 
   void setup() override {
-    updateWorkers(Workers,
+    updateWorkers(Workers_,
                   std::vector<WorkerSpec>{{.Name_ = "w0", .Slots_ = 8},
                                           {.Name_ = "w1", .Slots_ = 8}});
   }
   void addPeer(uint64_t Run, bool HasBacklog, uint16_t Uses) {
-    Peers.Peers_[{Run}] = {.Run_ = {Run},
-                           .DataCentre_ = "a",
-                           .HasBacklog_ = HasBacklog,
-                           .Uses_ = {{hashName("w0"), Uses}}};
+    Peers_.Peers_[{Run}] = {.Run_ = {Run},
+                            .DataCentre_ = "a",
+                            .HasBacklog_ = HasBacklog,
+                            .Uses_ = {{hashName("w0"), Uses}}};
   }
   uint32_t limit(std::size_t Worker) {
-    sharePeerUse(Peers, Self, "a", Workers);
-    return slotLimit(Workers.Workers_[Worker]);
+    sharePeerUse(Peers_, Self_, "a", Workers_);
+    return slotLimit(Workers_.Workers_[Worker]);
   }
 };
 
--- a/coordination/test/Support/IdentityTests.cpp
+++ b/coordination/test/Support/IdentityTests.cpp
@@ -4,10 +4,10 @@
 
 using namespace marjorambend;
 
-TEST_GROUP(AnIdentity) { Random Generator{7}; };
+TEST_GROUP(AnIdentity) { Random Generator_{7}; };
 
 TEST(AnIdentity, OfACallerKeepsItsTimeAndHasNoHome) {
-  const JobId Id = makeJobId({1'796'000'000'123}, Generator);
+  const JobId Id = makeJobId({1'796'000'000'123}, Generator_);
   CHECK_EQUAL(1'796'000'000'123, createdAt(Id).Count_);
   CHECK_FALSE(reservedBy(Id).has_value());
 }
@@ -25,7 +25,7 @@
 }
 
 TEST(AnIdentity, IsReadFromItsText) {
-  const JobId Id = makeJobId({1}, Generator);
+  const JobId Id = makeJobId({1}, Generator_);
   CHECK(parseJobId(formatJobId(Id)) == Id);
   for (const char *Wrong : {"", "0193a3c8-7c00-7000-8000-00000000000",
                             "0193a3c8-7c00-4000-8000-000000000001",
@@ -35,21 +35,21 @@
     CHECK_FALSE(parseJobId(Wrong).has_value());
 }
 
-TEST_GROUP(ATrace) { Random Generator{7}; };
+TEST_GROUP(ATrace) { Random Generator_{7}; };
 
 TEST(ATrace, IsCarriedFromHopToHop) {
   const std::string Given =
       "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
-  const TraceContext Hop = openTrace(Given, Generator);
+  const TraceContext Hop = openTrace(Given, Generator_);
   CHECK(Hop.IsSampled_);
-  const std::string Next = formatTraceParent(childOf(Hop, Generator));
+  const std::string Next = formatTraceParent(childOf(Hop, Generator_));
   CHECK_EQUAL(0, Next.compare(0, 35, Given, 0, 35));
   CHECK(Next.substr(36, 16) != Given.substr(36, 16));
 }
 
 TEST(ATrace, IsBegunWhenTheHeaderIsWrong) {
   for (const char *Wrong : {"", "nonsense", "00-x-y-01"})
-    CHECK_FALSE(openTrace(Wrong, Generator).IsSampled_);
+    CHECK_FALSE(openTrace(Wrong, Generator_).IsSampled_);
 }
 
 TEST_GROUP(TheCounters){};
--- a/transport/test/CallerApiTests.cpp
+++ b/transport/test/CallerApiTests.cpp
@@ -6,21 +6,21 @@
 using namespace marjorambend;
 
 TEST_GROUP(ACallersRequest) {
-  HttpRequest Request{
+  HttpRequest Request_{
       .Method_ = "POST",
       .Path_ = "/v1/jobs",
       .Headers_ = {{header::JobId, "0193a3c8-7c00-7000-8000-000000000001"},
                    {header::Team, "team"},
                    {header::Timeout, "2000"}},
       .Body_ = R"({"kind":"payout","tasks":["a","b"]})"};
-  const Milliseconds MaxTimeout{60'000};
+  const Milliseconds MaxTimeout_{60'000};
 
   void drop(const std::string &Name) {
-    std::erase_if(Request.Headers_,
+    std::erase_if(Request_.Headers_,
                   [&](const auto &Pair) { return Pair.first == Name; });
   }
   void checkRefused(Reason Why, uint16_t Status) {
-    const auto Job = parseJob(Request, MaxTimeout);
+    const auto Job = parseJob(Request_, MaxTimeout_);
     CHECK_FALSE(Job.has_value());
     CHECK(Job.error().Reason_ == Why);
     const HttpReply Reply = formatError(Job.error());
@@ -32,7 +32,7 @@
 };
 
 TEST(ACallersRequest, IsReadAsAJob) {
-  const auto Job = parseJob(Request, MaxTimeout);
+  const auto Job = parseJob(Request_, MaxTimeout_);
   CHECK(Job.has_value());
   STRCMP_EQUAL("payout", Job->Kind_.c_str());
   CHECK_EQUAL(2, Job->Tasks_.size());
@@ -45,14 +45,14 @@
 }
 
 TEST(ACallersRequest, WithAWrongIdentityIsRefused) {
-  Request.Headers_[0].second = "0193a3c8-7c00-4000-8000-000000000001";
+  Request_.Headers_[0].second = "0193a3c8-7c00-4000-8000-000000000001";
   checkRefused(Reason::MalformedRequest, 400);
 }
 
 TEST(ACallersRequest, WithoutTeamOrTimeoutIsRefused) {
   drop(header::Team);
   checkRefused(Reason::MalformedRequest, 400);
-  Request.Headers_.emplace_back(header::Team, "team");
+  Request_.Headers_.emplace_back(header::Team, "team");
   drop(header::Timeout);
   checkRefused(Reason::MalformedRequest, 400);
 }
@@ -62,7 +62,7 @@
        {"", "{", "[]", R"({"tasks":["a"]})", R"({"kind":"payout"})",
         R"({"kind":"payout","tasks":[]})", R"({"kind":"payout","tasks":[1]})",
         R"({"kind":7,"tasks":["a"]})"}) {
-    Request.Body_ = Body;
+    Request_.Body_ = Body;
     checkRefused(Reason::MalformedRequest, 400);
   }
 }
@@ -70,10 +70,10 @@
 TEST(ACallersRequest, WithMoreThanAThousandTasksIsRefused) {
   nlohmann::json Body{{"kind", "payout"},
                       {"tasks", std::vector<std::string>(1000, "a")}};
-  Request.Body_ = Body.dump();
-  CHECK(parseJob(Request, MaxTimeout).has_value());
+  Request_.Body_ = Body.dump();
+  CHECK(parseJob(Request_, MaxTimeout_).has_value());
   Body["tasks"].push_back("one too many");
-  Request.Body_ = Body.dump();
+  Request_.Body_ = Body.dump();
   checkRefused(Reason::MalformedRequest, 400);
 }
 
--- a/transport/test/FrameTests.cpp
+++ b/transport/test/FrameTests.cpp
@@ -15,43 +15,43 @@
 } // namespace
 
 TEST_GROUP(AFrame) {
-  FrameSeal Sender{.Key_ = "a shared key", .Nonce_ = 5};
-  FrameSeal Receiver{.Key_ = "a shared key", .Nonce_ = 5};
-  const std::vector<uint8_t> Content = bytesOf("content");
+  FrameSeal Sender_{.Key_ = "a shared key", .Nonce_ = 5};
+  FrameSeal Receiver_{.Key_ = "a shared key", .Nonce_ = 5};
+  const std::vector<uint8_t> Content_ = bytesOf("content");
 };
 
 TEST(AFrame, ArrivesAsItWasSent) {
-  const auto Sent = bytesOf(sealFrame(Sender, Content));
-  const auto Cut = cutFrame(Receiver, Sent, MaxBytes);
+  const auto Sent = bytesOf(sealFrame(Sender_, Content_));
+  const auto Cut = cutFrame(Receiver_, Sent, MaxBytes);
   CHECK(Cut && *Cut);
   CHECK_EQUAL(Sent.size(), (*Cut)->Bytes_);
-  CHECK(std::equal(Content.begin(), Content.end(), (*Cut)->Content_.begin()));
+  CHECK(std::equal(Content_.begin(), Content_.end(), (*Cut)->Content_.begin()));
 }
 
 TEST(AFrame, IsAwaitedUntilItIsWhole) {
-  const auto Sent = bytesOf(sealFrame(Sender, Content));
+  const auto Sent = bytesOf(sealFrame(Sender_, Content_));
   for (std::size_t Bytes = 0; Bytes < Sent.size(); ++Bytes) {
-    const auto Cut = cutFrame(Receiver, {Sent.data(), Bytes}, MaxBytes);
+    const auto Cut = cutFrame(Receiver_, {Sent.data(), Bytes}, MaxBytes);
     CHECK(Cut && !*Cut);
   }
 }
 
 TEST(AFrame, IsRejectedUnderAnotherKey) {
-  Receiver.Key_ = "another key";
-  const auto Sent = bytesOf(sealFrame(Sender, Content));
-  CHECK(cutFrame(Receiver, Sent, MaxBytes).error() == FrameError::NotGenuine);
+  Receiver_.Key_ = "another key";
+  const auto Sent = bytesOf(sealFrame(Sender_, Content_));
+  CHECK(cutFrame(Receiver_, Sent, MaxBytes).error() == FrameError::NotGenuine);
 }
 
 TEST(AFrame, IsRejectedWhenItIsReplayed) {
-  const auto Sent = bytesOf(sealFrame(Sender, Content));
-  CHECK(cutFrame(Receiver, Sent, MaxBytes).has_value());
-  CHECK(cutFrame(Receiver, Sent, MaxBytes).error() == FrameError::NotGenuine);
+  const auto Sent = bytesOf(sealFrame(Sender_, Content_));
+  CHECK(cutFrame(Receiver_, Sent, MaxBytes).has_value());
+  CHECK(cutFrame(Receiver_, Sent, MaxBytes).error() == FrameError::NotGenuine);
 }
 
 TEST(AFrame, IsRejectedWhenItIsTooLarge) {
   const auto Sent =
-      bytesOf(sealFrame(Sender, std::vector<uint8_t>(MaxBytes + 1)));
-  CHECK(cutFrame(Receiver, Sent, MaxBytes).error() == FrameError::TooLarge);
+      bytesOf(sealFrame(Sender_, std::vector<uint8_t>(MaxBytes + 1)));
+  CHECK(cutFrame(Receiver_, Sent, MaxBytes).error() == FrameError::TooLarge);
 }
 
 TEST(AFrame, WithAnyByteChangedIsNeverAccepted) {
--- a/transport/test/HttpTests.cpp
+++ b/transport/test/HttpTests.cpp
@@ -38,28 +38,28 @@
 } // namespace
 
 TEST_GROUP(AnHttpListener) {
-  EventLoop Loop;
-  std::optional<HttpRequest> Received;
-  std::optional<uint64_t> Gone;
-  bool IsSilent = false;
-  HttpServer Server{Loop,
-                    {.MaxBodyBytes_ = 1000,
-                     .RequestTimeout_ = {150},
-                     .TimeoutBody_ = "slow",
-                     .TooLargeBody_ = "large"},
-                    [this](HttpRequest &&Request) { return serve(Request); },
-                    [this](uint64_t Token) {
-                      Gone = Token;
-                      Loop.stop();
-                    }};
-  HttpClient Client{Loop};
-  std::optional<HttpResult> Answered;
-
-  void setup() override { CHECK(Server.listen().has_value()); }
+  EventLoop Loop_;
+  std::optional<HttpRequest> Received_;
+  std::optional<uint64_t> Gone_;
+  bool IsSilent_ = false;
+  HttpServer Server_{Loop_,
+                     {.MaxBodyBytes_ = 1000,
+                      .RequestTimeout_ = {150},
+                      .TimeoutBody_ = "slow",
+                      .TooLargeBody_ = "large"},
+                     [this](HttpRequest &&Request) { return serve(Request); },
+                     [this](uint64_t Token) {
+                       Gone_ = Token;
+                       Loop_.stop();
+                     }};
+  HttpClient Client_{Loop_};
+  std::optional<HttpResult> Answered_;
+
+  void setup() override { CHECK(Server_.listen().has_value()); }
 
   std::optional<HttpReply> serve(const HttpRequest &Request) {
-    Received = Request;
-    if (IsSilent)
+    Received_ = Request;
+    if (IsSilent_)
       return std::nullopt;
     return HttpReply{.Status_ = 200,
                      .Headers_ = {{"X-Path", Request.Path_}},
@@ -67,14 +67,14 @@
   }
 
   uint64_t send(const HttpCall &Call) {
-    return Client.send(Call, [this](HttpResult Result) {
-      Answered = std::move(Result);
-      Loop.stop();
+    return Client_.send(Call, [this](HttpResult Result) {
+      Answered_ = std::move(Result);
+      Loop_.stop();
     });
   }
 
   HttpCall callOf(std::string Body) {
-    return {.To_ = {"127.0.0.1", Server.port()},
+    return {.To_ = {"127.0.0.1", Server_.port()},
             .Method_ = "POST",
             .Target_ = "/a?b=c",
             .Body_ = std::move(Body)};
@@ -83,104 +83,104 @@
   // Runs the loop until the raw connection has been answered.
   std::string runUntilAnswered(const RawConnection &Raw) {
     std::string Text;
-    const Timer Poll(Loop, Milliseconds{5}, Timer::Mode::Repeat, [&] {
+    const Timer Poll(Loop_, Milliseconds{5}, Timer::Mode::Repeat, [&] {
       Text += Raw.read();
       if (!Text.empty())
-        Loop.stop();
+        Loop_.stop();
     });
-    Loop.run();
+    Loop_.run();
     return Text;
   }
 };
 
 TEST(AnHttpListener, AnswersARequestWhole) {
   send(callOf("body"));
-  Loop.run();
-  CHECK(Answered && *Answered);
-  STRCMP_EQUAL("body!", (*Answered)->Body_.c_str());
-  STRCMP_EQUAL("/a", Received->Path_.c_str());
-  STRCMP_EQUAL("b=c", Received->Query_.c_str());
+  Loop_.run();
+  CHECK(Answered_ && *Answered_);
+  STRCMP_EQUAL("body!", (*Answered_)->Body_.c_str());
+  STRCMP_EQUAL("/a", Received_->Path_.c_str());
+  STRCMP_EQUAL("b=c", Received_->Query_.c_str());
 }
 
 TEST(AnHttpListener, AnswersLaterWhenAskedTo) {
-  IsSilent = true;
+  IsSilent_ = true;
   send(callOf("body"));
-  const Timer Later(Loop, Milliseconds{20}, Timer::Mode::Once, [&] {
-    Server.reply(Received->Token_, {.Status_ = 503, .Body_ = "later"});
+  const Timer Later(Loop_, Milliseconds{20}, Timer::Mode::Once, [&] {
+    Server_.reply(Received_->Token_, {.Status_ = 503, .Body_ = "later"});
   });
-  Loop.run();
-  CHECK_EQUAL(503, (*Answered)->Status_);
-  CHECK_EQUAL(0, Server.openRequests());
+  Loop_.run();
+  CHECK_EQUAL(503, (*Answered_)->Status_);
+  CHECK_EQUAL(0, Server_.openRequests());
 }
 
 TEST(AnHttpListener, RefusesABodyThatIsTooLarge) {
   send(callOf(std::string(2000, 'x')));
-  Loop.run();
-  CHECK_EQUAL(413, (*Answered)->Status_);
-  STRCMP_EQUAL("large", (*Answered)->Body_.c_str());
-  CHECK_FALSE(Received.has_value());
+  Loop_.run();
+  CHECK_EQUAL(413, (*Answered_)->Status_);
+  STRCMP_EQUAL("large", (*Answered_)->Body_.c_str());
+  CHECK_FALSE(Received_.has_value());
 }
 
 TEST(AnHttpListener, RefusesAHugeBodyWithoutReadingIt) {
-  const RawConnection Raw(Server.port());
+  const RawConnection Raw(Server_.port());
   Raw.send("POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\nxxx");
   const std::string Text = runUntilAnswered(Raw);
   CHECK(Text.find("HTTP/1.1 413") == 0);
-  CHECK_FALSE(Received.has_value());
+  CHECK_FALSE(Received_.has_value());
 }
 
 TEST(AnHttpListener, RefusesHeadersThatArriveTooSlowly) {
-  const RawConnection Raw(Server.port());
+  const RawConnection Raw(Server_.port());
   Raw.send("POST /v1/jobs HTTP/1.1\r\nHost: a\r\n");
   const std::string Text = runUntilAnswered(Raw);
   CHECK(Text.find("HTTP/1.1 408") == 0);
   CHECK(Text.find("slow") != std::string::npos);
-  CHECK_FALSE(Received.has_value());
+  CHECK_FALSE(Received_.has_value());
 }
 
 TEST(AnHttpListener, NoticesThatTheSenderIsGone) {
-  IsSilent = true;
+  IsSilent_ = true;
   const uint64_t Call = send(callOf("body"));
-  const Timer Vanish(Loop, Milliseconds{20}, Timer::Mode::Once,
-                     [&] { Client.abort(Call); });
-  const Timer Late(Loop, Milliseconds{60}, Timer::Mode::Once, [&] {
+  const Timer Vanish(Loop_, Milliseconds{20}, Timer::Mode::Once,
+                     [&] { Client_.abort(Call); });
+  const Timer Late(Loop_, Milliseconds{60}, Timer::Mode::Once, [&] {
     // An answer to a sender that is gone does no harm.
-    Server.reply(Received->Token_, {.Status_ = 200, .Body_ = "late"});
-    Loop.stop();
+    Server_.reply(Received_->Token_, {.Status_ = 200, .Body_ = "late"});
+    Loop_.stop();
   });
-  Loop.run();
-  CHECK_FALSE(Answered.has_value());
+  Loop_.run();
+  CHECK_FALSE(Answered_.has_value());
 }
 
 TEST_GROUP_BASE(AnHttpClient, TEST_GROUP_CppUTestGroupAnHttpListener){};
 
 TEST(AnHttpClient, KnowsThatNothingWasSentWithoutAConnection) {
-  const RawConnection Unused(Server.port());
+  const RawConnection Unused(Server_.port());
   send({.To_ = {"127.0.0.1", 1}});
-  Loop.run();
-  CHECK(Answered->error() == HttpFailure::NotConnected);
+  Loop_.run();
+  CHECK(Answered_->error() == HttpFailure::NotConnected);
 }
 
 TEST(AnHttpClient, DoesNotKnowWhatASilentServerDid) {
-  IsSilent = true;
+  IsSilent_ = true;
   HttpCall Call = callOf("body");
   Call.Timeout_ = {50};
   send(Call);
-  Loop.run();
-  CHECK(Answered->error() == HttpFailure::Lost);
+  Loop_.run();
+  CHECK(Answered_->error() == HttpFailure::Lost);
 }
 
 TEST(AnHttpClient, NeverTakesAnAnswerForAnotherCall) {
-  IsSilent = true;
+  IsSilent_ = true;
   HttpCall Call = callOf("first");
   Call.Timeout_ = {50};
   send(Call);
-  Loop.run();
-  const uint64_t FirstToken = Received->Token_;
-  Answered.reset();
-  IsSilent = false;
+  Loop_.run();
+  const uint64_t FirstToken = Received_->Token_;
+  Answered_.reset();
+  IsSilent_ = false;
   send(callOf("second"));
-  Server.reply(FirstToken, {.Status_ = 200, .Body_ = "answer to the first"});
-  Loop.run();
-  STRCMP_EQUAL("second!", (*Answered)->Body_.c_str());
+  Server_.reply(FirstToken, {.Status_ = 200, .Body_ = "answer to the first"});
+  Loop_.run();
+  STRCMP_EQUAL("second!", (*Answered_)->Body_.c_str());
 }
--- a/transport/test/PeerCodecTests.cpp
+++ b/transport/test/PeerCodecTests.cpp
@@ -62,7 +62,7 @@
   orderDrain(Map, "worker/w1", true, {8});
   CHECK(roundTrip(DrainUpdate{Map}).Map_ == Map);
   CHECK_EQUAL(3, roundTrip(CatalogueUpdate{3, "text"}).Version_);
-  CHECK(roundTrip(ForwardedCancel{{5, 6}}).Id_ == JobId(5, 6));
+  CHECK(roundTrip(ForwardedCancel{{5, 6}}).Id_ == (JobId{5, 6}));
 }
 
 TEST(AMessage, ThatIsNotOneIsRejected) {
