--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -232,10 +232,12 @@
 
 static void pauseWorker(Turn &T, uint32_t WorkerIndex, TaskResult Result) {
   Worker &Refused = T.State_.Workers_.Workers_[WorkerIndex];
-  if (Result == TaskResult::RefusedLeaving && !Refused.HasSaidLeaving_) {
-    Refused.HasSaidLeaving_ = true;
-    T.Out_.emplace_back(
-        LogChange{"worker " + Refused.Spec_.Name_ + " says it is leaving"});
+  if (Result == TaskResult::RefusedLeaving) {
+    if (T.Now_ >= Refused.LeavingUntil_)
+      T.Out_.emplace_back(
+          LogChange{"worker " + Refused.Spec_.Name_ + " says it is leaving"});
+    Refused.LeavingUntil_ = T.Now_ + T.State_.Options_.Routing_.LeavingPause_;
+    return;
   }
   if (Result == TaskResult::Refused)
     lowerCeiling(Refused);
--- a/coordination/marjorambend/src/Routing/WorkerTable.cpp
+++ b/coordination/marjorambend/src/Routing/WorkerTable.cpp
@@ -22,21 +22,23 @@
     Known.IsListed_ = true;
     if (!IsReplaced)
       continue;
-    Known.HasSaidLeaving_ = false;
+    Known.LeavingUntil_ = {};
     Known.FailureStreak_ = 0;
     Known.EjectedUntil_ = {};
     Known.PausedUntil_ = {};
   }
 }
 
-bool isEligible(const Worker &Candidate, Milliseconds Now) {
-  if (!Candidate.IsListed_ || Candidate.Spec_.Leaving_)
-    return false;
-  if (Candidate.IsDrained_ || Candidate.HasSaidLeaving_)
+bool isAvailable(const Worker &Candidate, Milliseconds Now) {
+  if (!Candidate.IsListed_ || Candidate.Spec_.Leaving_ || Candidate.IsDrained_)
     return false;
-  if (Candidate.IsProbing_ && Candidate.Outstanding_ > 0)
+  return Now >= Candidate.EjectedUntil_ && Now >= Candidate.LeavingUntil_;
+}
+
+bool isEligible(const Worker &Candidate, Milliseconds Now) {
+  if (!isAvailable(Candidate, Now) || Now < Candidate.PausedUntil_)
     return false;
-  return Now >= Candidate.EjectedUntil_ && Now >= Candidate.PausedUntil_;
+  return !Candidate.IsProbing_ || Candidate.Outstanding_ == 0;
 }
 
 uint32_t slotLimit(const Worker &Candidate) {
@@ -58,12 +60,12 @@
 Capacity capacityOf(const WorkerTable &Table, Milliseconds Now) {
   Capacity Sum;
   for (const Worker &Candidate : Table.Workers_) {
-    if (!isEligible(Candidate, Now))
+    if (!isAvailable(Candidate, Now))
       continue;
     const uint32_t Limit = slotLimit(Candidate);
     ++Sum.Workers_;
     Sum.Slots_ += std::max(Limit, Candidate.Share_);
-    if (Candidate.Outstanding_ < Limit)
+    if (isEligible(Candidate, Now) && Candidate.Outstanding_ < Limit)
       Sum.FreeSlots_ += Limit - Candidate.Outstanding_;
   }
   return Sum;
--- a/coordination/marjorambend/src/Routing/WorkerTable.h
+++ b/coordination/marjorambend/src/Routing/WorkerTable.h
@@ -16,19 +16,19 @@
 /// \brief What an instance knows of one worker's backend server.
 struct Worker {
   WorkerSpec Spec_;
-  bool IsListed_ = true;        ///< Present in the latest list.
-  bool IsDrained_ = false;      ///< By an operator.
-  bool HasSaidLeaving_ = false; ///< By its own refusal.
-  uint32_t Outstanding_ = 0;    ///< Tasks of this instance under way.
-  uint32_t PeerUse_ = 0;        ///< Slots used by or kept for other instances.
-  uint32_t Share_ = 0;          ///< Slots that this instance is entitled to.
+  bool IsListed_ = true;     ///< Present in the latest list.
+  bool IsDrained_ = false;   ///< By an operator.
+  uint32_t Outstanding_ = 0; ///< Tasks of this instance under way.
+  uint32_t PeerUse_ = 0;     ///< Slots used by or kept for other instances.
+  uint32_t Share_ = 0;       ///< Slots that this instance is entitled to.
   uint32_t Ceiling_ = UINT32_MAX; ///< Tasks that fitted when one was refused.
   double Slowness_ = 1.0;         ///< Run time relative to the fleet's.
   uint32_t FailureStreak_ = 0;    ///< Blamed failures since the last success.
   uint32_t Ejections_ = 0;        ///< Successive ejections; doubles the time.
   bool IsProbing_ = false;        ///< Ejection is over, next task decides.
   Milliseconds EjectedUntil_;
-  Milliseconds PausedUntil_; ///< After a refusal.
+  Milliseconds PausedUntil_;  ///< After a refusal.
+  Milliseconds LeavingUntil_; ///< It has said so itself; asked again then.
 };
 
 /// \brief The workers of one data centre. Indices stay valid for ever.
@@ -43,7 +43,10 @@
 /// Workers that are no longer listed get no new task, and keep their index.
 void updateWorkers(WorkerTable &Table, std::span<const WorkerSpec> Listed);
 
-/// \brief Whether new tasks may be sent to the worker, slots aside.
+/// \brief Whether the worker is there to take tasks, pauses and slots aside.
+bool isAvailable(const Worker &Candidate, Milliseconds Now);
+
+/// \brief Whether a task may be sent to the worker now, slots aside.
 bool isEligible(const Worker &Candidate, Milliseconds Now);
 
 /// \brief Slots that this instance may use at present.
@@ -64,7 +67,7 @@
   uint32_t FreeSlots_ = 0;
 };
 
-/// \brief Sums up the eligible workers.
+/// \brief Sums up the available workers.
 Capacity capacityOf(const WorkerTable &Table, Milliseconds Now);
 
 /// \brief The worker with that name, if it was ever listed.
--- a/coordination/test/Routing/RouterTests.cpp
+++ b/coordination/test/Routing/RouterTests.cpp
@@ -45,7 +45,7 @@
 
 TEST(Routing_, PassesByWhoeverIsLeavingDrainedOrNotListed) {
   Table_.Workers_[0].IsDrained_ = true;
-  Table_.Workers_[1].HasSaidLeaving_ = true;
+  Table_.Workers_[1].LeavingUntil_ = 60'000_ms;
   Table_.Workers_[2].Spec_.Leaving_ = true;
   list(4);
   Table_.Workers_[2].Spec_.Leaving_ = true;
--- a/daemon/OperatorApi.cpp
+++ b/daemon/OperatorApi.cpp
@@ -24,7 +24,7 @@
               {"peer_use", Known.PeerUse_},
               {"slowness", Known.Slowness_},
               {"listed", Known.IsListed_},
-              {"leaving", Known.Spec_.Leaving_ || Known.HasSaidLeaving_},
+              {"leaving", Known.Spec_.Leaving_ || Now < Known.LeavingUntil_},
               {"drained", Known.IsDrained_},
               {"ejected", Now < Known.EjectedUntil_},
               {"eligible", isEligible(Known, Now)}};
