Prove drains, catalogue and planned stops under faults; know the drains before taking work

Cause: the new drain property (bound 3 s, table service out) failed. World: a replaced instance took its catalogue from another, was ready, and sent work to a drained worker before it had heard of the drain; the table service had come back without the order. Ruled out: a lost order (all others knew it). World: orders spread only with the next heartbeat of the receiver, up to a second later. Change: drains are pushed at once; an instance is ready when it agrees about drains with another that knows them, or after 1.5 s with the table service alone. Operators race for the catalogue and instances are stopped on plan in the simulated worlds; four more mistakes can be planted. Conclusion: a new instance must not confuse ignorance with absence.

--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -80,7 +80,7 @@
   Record.Phase_ = JobPhase::Active;
   Record.ActiveAt_ = T.Now_;
   const JobRequest &Request = Record.Request_;
-  if (State.Config_.Version_ == 0) {
+  if (State.Config_.Version_ == 0 || !State.KnowsDrains_) {
     failByState(T, Record, Reason::NotReady, comeBackTime(T));
     return;
   }
--- a/coordination/marjorambend/src/Instance/Instance.cpp
+++ b/coordination/marjorambend/src/Instance/Instance.cpp
@@ -45,6 +45,8 @@
     T.Out_.emplace_back(
         LogChange{"paused for " + std::to_string(Gap.Count_) + " ms"});
   }
+  if (!State.HasTicked_)
+    State.StartedAt_ = T.Now_;
   State.HasTicked_ = true;
   State.LastTick_ = T.Now_;
 }
@@ -80,6 +82,7 @@
       failByState(T, *Record, Reason::StoreUnavailable, comeBackTime(T));
   }
   forgetJobs(T);
+  learnDrains(T);
   beatPeers(T);
   pollRows(T);
   repeatWrite(T);
@@ -172,7 +175,7 @@
 }
 
 bool isReady(const Instance &State) {
-  return State.Config_.Version_ > 0 && !State.IsStopping_;
+  return State.Config_.Version_ > 0 && State.KnowsDrains_ && !State.IsStopping_;
 }
 
 bool isIdle(const Instance &State) {
--- a/coordination/marjorambend/src/Instance/Instance.h
+++ b/coordination/marjorambend/src/Instance/Instance.h
@@ -93,7 +93,10 @@
   Milliseconds ConfigWriteDue_;
   Milliseconds ConfigWriteEnd_;
   DrainMap Drains_;
-  DrainMap StoredDrains_; ///< As last seen in the table service.
+  bool KnowsDrains_ = false;   ///< Learnt since the start; see learnDrains.
+  bool HasReadDrains_ = false; ///< From the table service.
+  Milliseconds StartedAt_;     ///< Of the first tick.
+  DrainMap StoredDrains_;      ///< As last seen in the table service.
   uint64_t StoredDrainsVersion_ = 0;
   Milliseconds NextPoll_;
   Milliseconds NextSweep_;
@@ -115,8 +118,8 @@
 /// that is stopping reserves none.
 std::vector<JobId> reserveJobIds(Instance &State, std::size_t Count);
 
-/// \brief Whether callers may be sent here: a catalogue is in force and the
-/// instance is not stopping.
+/// \brief Whether callers may be sent here: a catalogue is in force, the drains
+/// are known, and the instance is not stopping.
 bool isReady(const Instance &State);
 
 /// \brief Whether nothing is left that a planned stop has to wait for.
--- a/coordination/marjorambend/src/Instance/Messages.h
+++ b/coordination/marjorambend/src/Instance/Messages.h
@@ -18,6 +18,7 @@
   uint64_t DrainFingerprint_ = 0;
   bool HasBacklog_ = false;
   bool IsStopping_ = false;
+  bool KnowsDrains_ = false;    ///< The sender does not only guess its drains.
   std::vector<WorkerUse> Uses_; ///< Only between instances of a data centre.
 };
 
--- a/coordination/marjorambend/src/Instance/Peers.cpp
+++ b/coordination/marjorambend/src/Instance/Peers.cpp
@@ -96,6 +96,7 @@
                  .DrainFingerprint_ = fingerprint(State.Drains_),
                  .HasBacklog_ = State.Queue_.Jobs_ > 0,
                  .IsStopping_ = State.IsStopping_,
+                 .KnowsDrains_ = State.KnowsDrains_,
                  .Uses_ = {}};
   if (IsNear)
     Beat.Uses_ = usesOf(State.Workers_);
@@ -128,7 +129,11 @@
   Known.Uses_ = std::move(Beat.Uses_);
   if (Beat.CatalogueVersion_ > State.Config_.Version_)
     sendPeer(T, From, CatalogueRequest{});
-  if (Beat.DrainFingerprint_ != fingerprint(State.Drains_))
+  const bool HasSameDrains =
+      Beat.DrainFingerprint_ == fingerprint(State.Drains_);
+  if (HasSameDrains && Beat.KnowsDrains_)
+    State.KnowsDrains_ = true;
+  if (!HasSameDrains)
     sendPeer(T, From, DrainUpdate{State.Drains_});
   if (Known.DataCentre_ == State.Options_.DataCentre_)
     sharePeers(T);
--- a/coordination/marjorambend/src/Instance/Settlement.cpp
+++ b/coordination/marjorambend/src/Instance/Settlement.cpp
@@ -7,6 +7,10 @@
 static constexpr Milliseconds WriteRepeat{700};
 static constexpr Milliseconds WriteGiveUp{8'000};
 
+// How long a new instance waits for others before it trusts the table service
+// alone about drains.
+static constexpr Milliseconds DrainGrace{1'500};
+
 static void beatAllNow(Turn &T) {
   for (auto &[Run, Known] : T.State_.Peers_.Peers_)
     Known.HeartbeatDue_ = T.Now_;
@@ -37,6 +41,12 @@
   }
 }
 
+// Passed on at once; heartbeats find out what was lost on the way.
+static void pushDrains(Turn &T) {
+  for (const auto &[Run, Known] : T.State_.Peers_.Peers_)
+    sendPeer(T, Run, DrainUpdate{T.State_.Drains_});
+}
+
 static void applyDrains(Turn &T) {
   for (Worker &Known : T.State_.Workers_.Workers_)
     Known.IsDrained_ =
@@ -48,7 +58,7 @@
     return;
   applyDrains(T);
   T.Out_.emplace_back(LogChange{"drains have changed"});
-  beatAllNow(T);
+  pushDrains(T);
 }
 
 static void storeDrains(Turn &T) {
@@ -61,6 +71,16 @@
                               .Value_ = formatDrains(State.Drains_)});
 }
 
+// An instance that agrees with another which knows the drains knows them too.
+// The table service may lack orders that were given while it was out, so that
+// it counts only when no such instance is heard for a while.
+void learnDrains(Turn &T) {
+  Instance &State = T.State_;
+  const bool IsAlone = T.Now_ - State.StartedAt_ >= DrainGrace;
+  if (!State.KnowsDrains_ && State.HasReadDrains_ && IsAlone)
+    State.KnowsDrains_ = true;
+}
+
 // A read may be older than one before; merging makes that harmless.
 static void takeStoredDrains(Turn &T, uint64_t Version,
                              std::string_view Value) {
@@ -80,7 +100,7 @@
   T.Out_.emplace_back(
       LogChange{Ordered.Target_ +
                 (Ordered.IsDrained_ ? " drained" : " no longer drained")});
-  beatAllNow(T);
+  pushDrains(T);
   storeDrains(T);
 }
 
@@ -99,6 +119,7 @@
 
 void readRow(Turn &T, const RowRead &Row) {
   if (Row.Key_ == DrainsKey) {
+    T.State_.HasReadDrains_ = true;
     takeStoredDrains(T, Row.Version_, Row.Value_);
     storeDrains(T);
     return;
--- a/coordination/marjorambend/src/Instance/Step.h
+++ b/coordination/marjorambend/src/Instance/Step.h
@@ -71,6 +71,7 @@
 void takeDrains(Turn &T, const DrainMap &Received);
 void listWorkers(Turn &T, const WorkersListed &Listed);
 void pollRows(Turn &T);
+void learnDrains(Turn &T);
 void repeatWrite(Turn &T);
 /// @}
 
--- a/coordination/test/Golden/Session.cpp
+++ b/coordination/test/Golden/Session.cpp
@@ -246,6 +246,7 @@
   give(RowRead{.Key_ = std::string(CatalogueKey),
                .Version_ = 1,
                .Value_ = packCatalogue(7, SessionCatalogue)});
+  State_.KnowsDrains_ = true;
   std::vector<WorkerSpec> Listed;
   for (const char *Name : {"w0", "w1"})
     Listed.push_back({.Name_ = Name,
--- /dev/null
+++ b/coordination/test/Simulation/Operators.cpp
@@ -0,0 +1,128 @@
+#include "../TestMain.h"
+#include "World.h"
+
+using namespace marjorambend;
+using namespace marjorambend::test;
+using namespace marjorambend::literals;
+
+namespace {
+
+uint64_t anySeed() {
+  return *rc::gen::noShrink(rc::gen::inRange<uint64_t>(1, uint64_t{1} << 62U));
+}
+
+std::string firstViolation(const WorldReport &Report) {
+  return Report.Violations_.empty() ? std::string{}
+                                    : Report.Violations_.front();
+}
+
+/// \brief Drains while the table service is out for good.
+WorldOptions drainWorld(uint64_t Seed) {
+  return {.Seed_ = Seed,
+          .Jobs_ = 80,
+          .Arrivals_ = 7'000_ms,
+          .Length_ = 12'000_ms,
+          .Kills_ = 1,
+          .Pauses_ = 0,
+          .Cuts_ = 0,
+          .Outages_ = 6,
+          .Drains_ = 2};
+}
+
+/// \brief Operators race each other while everything fails.
+WorldOptions operatorWorld(uint64_t Seed) {
+  return {.Seed_ = Seed,
+          .Jobs_ = 4,
+          .Length_ = 16'000_ms,
+          .Outages_ = 2,
+          .Writes_ = 12};
+}
+
+/// \brief Instances are stopped on plan while jobs run.
+WorldOptions stopWorld(uint64_t Seed) {
+  return {.Seed_ = Seed, .Jobs_ = 40, .Kills_ = 0, .Cuts_ = 1, .Stops_ = 3};
+}
+
+constexpr uint64_t MostWorlds = 400;
+
+void checkCaught(const char *Name, Plant Mistake, WorldOptions Options) {
+  Options.Plant_ = Mistake;
+  uint64_t Worlds = 0;
+  bool IsCaught = false;
+  while (!IsCaught && Worlds < MostWorlds) {
+    Options.Seed_ = baseSeed() + Worlds++;
+    IsCaught = !World(Options).run().Violations_.empty();
+  }
+  std::cout << "planted " << Name << ": "
+            << (IsCaught ? "caught in world " + std::to_string(Worlds)
+                         : "not caught")
+            << std::endl;
+  CHECK_TRUE_TEXT(IsCaught, Name);
+}
+
+} // namespace
+
+TEST_GROUP(ADrainedWorker){};
+
+TEST(ADrainedWorker, GetsNoNewWorkAfterThreeSecondsEvenWithoutTheService) {
+  CHECK(rc::check("drains reach every instance", [] {
+    const uint64_t Seed = anySeed();
+    const WorldReport Report = World(drainWorld(Seed)).run();
+    RC_LOG() << "world seed " << Seed << '\n';
+    RC_ASSERT(firstViolation(Report) == "");
+  }));
+}
+
+TEST(ADrainedWorker, PlantedMistakesAreCaught) {
+  checkCaught("KeepDrainsToItself", Plant::KeepDrainsToItself, drainWorld(1));
+}
+
+TEST_GROUP(TheCatalogueUnderRacesAndFaults){};
+
+TEST(TheCatalogueUnderRacesAndFaults, HasOneWinnerNeverRevertsAndIsInForce) {
+  CHECK(rc::check("accepted is in force within 9 s and never reverts", [] {
+    const uint64_t Seed = anySeed();
+    const WorldReport Report = World(operatorWorld(Seed)).run();
+    RC_LOG() << "world seed " << Seed << '\n';
+    RC_ASSERT(firstViolation(Report) == "");
+  }));
+}
+
+TEST(TheCatalogueUnderRacesAndFaults, IsReallyRacedFor) {
+  uint64_t Accepted = 0;
+  uint64_t Refused = 0;
+  for (uint64_t Seed = 1; Seed <= 50; ++Seed) {
+    const WorldReport Report = World(operatorWorld(Seed)).run();
+    Accepted += Report.Accepted_;
+    Refused += Report.Refused_;
+  }
+  CHECK(Accepted > 50);
+  CHECK(Refused > 50);
+}
+
+TEST(TheCatalogueUnderRacesAndFaults, PlantedMistakesAreCaught) {
+  checkCaught("StepBack", Plant::StepBack, operatorWorld(1));
+  checkCaught("ClaimEveryWrite", Plant::ClaimEveryWrite, operatorWorld(1));
+}
+
+TEST_GROUP(APlannedStopUnderLoad){};
+
+TEST(APlannedStopUnderLoad, CutsNothingOff) {
+  CHECK(rc::check("every submission is answered before the end", [] {
+    const uint64_t Seed = anySeed();
+    const WorldReport Report = World(stopWorld(Seed)).run();
+    RC_LOG() << "world seed " << Seed << '\n';
+    RC_ASSERT(firstViolation(Report) == "");
+  }));
+}
+
+TEST(APlannedStopUnderLoad, ReallyEnds) {
+  uint64_t Stops = 0;
+  for (uint64_t Seed = 1; Seed <= 50; ++Seed)
+    Stops += World(stopWorld(Seed)).run().StopsDone_;
+  CHECK(Stops > 50);
+}
+
+TEST(APlannedStopUnderLoad, PlantedMistakesAreCaught) {
+  checkCaught("StopAtOnce", Plant::StopAtOnce, stopWorld(1));
+}
--- a/coordination/test/Simulation/Planted.cpp
+++ b/coordination/test/Simulation/Planted.cpp
@@ -1,5 +1,7 @@
 #include "World.h"
 
+#include <marjorambend/Configuration>
+
 namespace marjorambend::test {
 
 static constexpr Milliseconds HastyDecision{100};
@@ -40,6 +42,21 @@
   }
 }
 
+void World::plantOperators(std::size_t Index, Event &Happened) {
+  Instance &State = Nodes_[Index].State_;
+  if (Options_.Plant_ == Plant::StepBack &&
+      std::holds_alternative<RowRead>(Happened))
+    State.Config_.Version_ = 0;
+  auto *Swapped = std::get_if<RowSwapped>(&Happened);
+  if (Options_.Plant_ == Plant::ClaimEveryWrite && Swapped != nullptr &&
+      Swapped->Key_ == CatalogueKey && State.ConfigWrite_)
+    State.ConfigWrite_->Nonce_ = unpackCatalogue(Swapped->Value_).Nonce_;
+  const auto *Received = std::get_if<PeerReceived>(&Happened);
+  if (Options_.Plant_ == Plant::KeepDrainsToItself && Received != nullptr &&
+      std::holds_alternative<DrainUpdate>(Received->Message_))
+    Happened = PeerReceived{Received->From_, Heartbeat{}};
+}
+
 void World::plantEvent(std::size_t Index, Event &Happened) {
   Node &To = Nodes_[Index];
   if (auto *Answered = std::get_if<ClaimsAnswered>(&Happened))
@@ -49,6 +66,7 @@
     Happened = ownRows(To, Failed->Batch_);
     return;
   }
+  plantOperators(Index, Happened);
   auto *Finished = std::get_if<TaskFinished>(&Happened);
   if (Finished == nullptr)
     return;
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -11,3 +11,5 @@
   > transport/generated/Settings.def
 awk -v mode=page -f scripts/generate-settings.awk transport/schema/settings.fbs \
   > docs/SETTINGS.md
+awk -f scripts/generate-counters.awk \
+  coordination/marjorambend/src/Support/Counters.def > docs/METRICS.md
--- a/transport/marjorambend/src/Transport/PeerCodec.cpp
+++ b/transport/marjorambend/src/Transport/PeerCodec.cpp
@@ -27,7 +27,7 @@
     return {wire::Body::Heartbeat,
             wire::CreateHeartbeat(Builder_, M.CatalogueVersion_,
                                   M.DrainFingerprint_, M.HasBacklog_,
-                                  M.IsStopping_, Vector)
+                                  M.IsStopping_, Vector, M.KnowsDrains_)
                 .Union()};
   }
 
@@ -119,6 +119,7 @@
                  .DrainFingerprint_ = M.drain_fingerprint(),
                  .HasBacklog_ = M.has_backlog(),
                  .IsStopping_ = M.is_stopping(),
+                 .KnowsDrains_ = M.knows_drains(),
                  .Uses_ = {}};
   if (M.uses() == nullptr)
     return Beat;
