Wait for a faster worker only when that is sooner; learn speeds faster

Change: a task waits if a faster worker is expected to finish it sooner, the waiting tasks included; the first observations of a worker weigh more.

--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -166,8 +166,9 @@
     }
     const double RunMs =
         expectedRunMs(State.Estimator_, Record.Request_.Kind_, Milliseconds{1});
-    const auto Chosen = chooseWorker(State.Workers_, State.Options_.Routing_,
-                                     RunMs, State.Generator_, T.Now_);
+    const auto Chosen =
+        chooseWorker(State.Workers_, State.Options_.Routing_, RunMs,
+                     State.Admission_.QueuedTasks_, State.Generator_, T.Now_);
     if (!Chosen)
       return;
     sendTask(T, Record, *Chosen);
@@ -180,7 +181,7 @@
   Worker &Ran = State.Workers_.Workers_[Sent.Worker_];
   const std::string &Kind = Record.Request_.Kind_;
   increment(State.Counters_, Counter::TasksCompleted);
-  observeRun(State.Estimator_, State.Options_.Routing_, Kind, Ran.Slowness_,
+  observeRun(State.Estimator_, State.Options_.Routing_, Kind, Ran.Speed_,
              T.Now_ - Sent.SentAt_);
   observeSuccess(State.Estimator_, State.Options_.Routing_, Kind, true);
   praiseWorker(State.Workers_, Sent.Worker_);
--- a/coordination/marjorambend/src/Routing/Estimator.cpp
+++ b/coordination/marjorambend/src/Routing/Estimator.cpp
@@ -13,6 +13,12 @@
       .first->second;
 }
 
+// The weight of an observation falls with their number down to a floor.
+static double rateOf(const RoutingOptions &Options, uint64_t Samples) {
+  return std::max(Options.LearningRate_,
+                  0.5 / static_cast<double>(std::max<uint64_t>(1, Samples)));
+}
+
 } // namespace internal
 
 double expectedRunMs(const Estimator &Learned, std::string_view Kind,
@@ -24,20 +30,24 @@
 }
 
 void observeRun(Estimator &Learned, const RoutingOptions &Options,
-                std::string_view Kind, double &Slowness, Milliseconds Elapsed) {
+                std::string_view Kind, SpeedEstimate &Speed,
+                Milliseconds Elapsed) {
   KindEstimate &Entry = internal::entryOf(Learned, Kind);
   const double Observed = std::max(1.0, static_cast<double>(Elapsed.Count_));
   ++Entry.Samples_;
   if (Entry.Samples_ == 1) {
-    Entry.RunMs_ = Observed / Slowness;
+    Entry.RunMs_ = Observed / Speed.Slowness_;
     return;
   }
-  const double Expected = Entry.RunMs_ * Slowness;
+  ++Speed.Samples_;
+  const double Expected = Entry.RunMs_ * Speed.Slowness_;
   const double Bound = Options.ObservationBound_;
-  const double Ratio = std::clamp(Observed / Expected, 1.0 / Bound, Bound);
-  const double Rate = Options.LearningRate_;
-  Slowness = std::clamp(Slowness * (1 + Rate * (Ratio - 1)), 0.05, 50.0);
-  Entry.RunMs_ = std::max(1.0, Entry.RunMs_ * (1 + Rate * (Ratio - 1)));
+  const double Step = std::clamp(Observed / Expected, 1.0 / Bound, Bound) - 1.0;
+  const double KindRate = internal::rateOf(Options, Entry.Samples_);
+  const double SpeedRate = internal::rateOf(Options, Speed.Samples_);
+  Speed.Slowness_ =
+      std::clamp(Speed.Slowness_ * (1 + SpeedRate * Step), 0.05, 50.0);
+  Entry.RunMs_ = std::max(1.0, Entry.RunMs_ * (1 + KindRate * Step));
 }
 
 void observeSuccess(Estimator &Learned, const RoutingOptions &Options,
--- a/coordination/marjorambend/src/Routing/Estimator.h
+++ b/coordination/marjorambend/src/Routing/Estimator.h
@@ -17,6 +17,12 @@
   uint64_t Samples_ = 0;
 };
 
+/// \brief What has been learned of one worker.
+struct SpeedEstimate {
+  double Slowness_ = 1; ///< Run time relative to the fleet's.
+  uint64_t Samples_ = 0;
+};
+
 /// \brief Learned run times and success rates, by kind.
 struct Estimator {
   std::map<std::string, KindEstimate, std::less<>> Kinds_;
@@ -31,9 +37,11 @@
 ///
 /// Splits the observation between the kind and the worker: the product of the
 /// kind's run time and the worker's slowness approaches what is observed.
-/// \param Slowness the worker's, updated in place.
+/// The first observations of a worker or a kind weigh more than later ones.
+/// \param Speed the worker's, updated in place.
 void observeRun(Estimator &Learned, const RoutingOptions &Options,
-                std::string_view Kind, double &Slowness, Milliseconds Elapsed);
+                std::string_view Kind, SpeedEstimate &Speed,
+                Milliseconds Elapsed);
 
 /// \brief Learns whether a task of a kind succeeded.
 void observeSuccess(Estimator &Learned, const RoutingOptions &Options,
--- a/coordination/marjorambend/src/Routing/Router.cpp
+++ b/coordination/marjorambend/src/Routing/Router.cpp
@@ -17,31 +17,47 @@
 static double costOf(const Worker &Candidate, double RunMs) {
   const double Load = static_cast<double>(Candidate.Outstanding_) /
                       std::max<uint32_t>(1, Candidate.Spec_.Slots_);
-  return RunMs * Candidate.Slowness_ * (1.0 + 0.05 * Load);
+  return RunMs * Candidate.Speed_.Slowness_ * (1.0 + 0.05 * Load);
 }
 
-static Choice earliestCompletion(const WorkerTable &Table,
-                                 const RoutingOptions &Options, double RunMs,
-                                 Milliseconds Now) {
+// Time until a slot of a worker that is clearly faster is expected to be free
+// and to have run the task, behind the tasks that wait before it.
+static double expectedOnFaster(const WorkerTable &Table, double RunMs,
+                               double BestCost, std::size_t Waiting,
+                               Milliseconds Now) {
+  constexpr double ClearlyFaster = 0.8;
+  double Rate = 0;
+  double Slots = 0;
+  for (const Worker &Candidate : Table.Workers_) {
+    const double Cost = costOf(Candidate, RunMs);
+    if (Cost >= ClearlyFaster * BestCost || !isEligible(Candidate, Now))
+      continue;
+    Rate += slotLimit(Candidate) / Cost;
+    Slots += slotLimit(Candidate);
+  }
+  if (Rate <= 0)
+    return std::numeric_limits<double>::max();
+  return static_cast<double>(Waiting) / Rate + Slots / Rate;
+}
+
+static Choice earliestCompletion(const WorkerTable &Table, double RunMs,
+                                 std::size_t Waiting, Milliseconds Now) {
   Choice Best;
   double BestCost = std::numeric_limits<double>::max();
-  double FastestCost = std::numeric_limits<double>::max();
   for (uint32_t Index = 0; Index < Table.Workers_.size(); ++Index) {
     const Worker &Candidate = Table.Workers_[Index];
-    if (!isEligible(Candidate, Now))
+    if (!isEligible(Candidate, Now) || !hasFreeSlot(Candidate))
       continue;
     const double Cost = costOf(Candidate, RunMs);
-    if (slotLimit(Candidate) > 0)
-      FastestCost = std::min(FastestCost, Cost);
-    if (!hasFreeSlot(Candidate) || Cost >= BestCost)
+    if (Cost >= BestCost)
       continue;
     Best = Index;
     BestCost = Cost;
   }
-  // A much slower worker is left idle: a faster one is free again sooner.
-  if (Best && BestCost > Options.WaitRatio_ * FastestCost)
+  if (!Best)
     return std::nullopt;
-  return Best;
+  const double Faster = expectedOnFaster(Table, RunMs, BestCost, Waiting, Now);
+  return Faster < BestCost ? std::nullopt : Best;
 }
 
 static Choice leastOutstanding(const WorkerTable &Table, Milliseconds Now) {
@@ -97,8 +113,8 @@
 
 std::optional<uint32_t> chooseWorker(WorkerTable &Table,
                                      const RoutingOptions &Options,
-                                     double RunMs, Random &Generator,
-                                     Milliseconds Now) {
+                                     double RunMs, std::size_t Waiting,
+                                     Random &Generator, Milliseconds Now) {
   switch (Options.Policy_) {
   case RoutingPolicy::LeastOutstanding:
     return internal::leastOutstanding(Table, Now);
@@ -109,7 +125,7 @@
   case RoutingPolicy::EarliestCompletion:
     break;
   }
-  return internal::earliestCompletion(Table, Options, RunMs, Now);
+  return internal::earliestCompletion(Table, RunMs, Waiting, Now);
 }
 
 Verdict blameWorker(WorkerTable &Table, const RoutingOptions &Options,
--- a/coordination/marjorambend/src/Routing/RoutingTypes.h
+++ b/coordination/marjorambend/src/Routing/RoutingTypes.h
@@ -19,7 +19,7 @@
 /// \brief Parameters of routing.
 struct RoutingOptions {
   RoutingPolicy Policy_ = RoutingPolicy::EarliestCompletion;
-  double LearningRate_ = 0.1;     ///< Weight of one observation.
+  double LearningRate_ = 0.1;     ///< Weight of an observation after the first.
   double ObservationBound_ = 4.0; ///< Largest observation, as a multiple.
   uint32_t FailureStreak_ = 5;    ///< Blamed failures in a row that eject.
   double EjectedShare_ = 0.2;     ///< Most workers ejected at a time.
@@ -30,7 +30,6 @@
   Milliseconds DeniedPause_{500};     ///< The same, without retry budget.
   Milliseconds ConnectPause_{1'000};  ///< After a connection was refused.
   Milliseconds LeavingPause_{60'000}; ///< After it has said it is leaving.
-  double WaitRatio_ = 3.0; ///< Slowest worker used, relative to the fastest.
 };
 
 /// \brief A backend server as the platform's list describes it.
--- a/coordination/marjorambend/src/Routing/WorkerTable.h
+++ b/coordination/marjorambend/src/Routing/WorkerTable.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_ROUTING_WORKERTABLE_H
 #define MARJORAMBEND_ROUTING_WORKERTABLE_H
 
+#include "marjorambend/src/Routing/Estimator.h"
 #include "marjorambend/src/Routing/RoutingTypes.h"
 
 #include <cstdint>
@@ -22,10 +23,10 @@
   uint32_t PeerUse_ = 0;     ///< Slots used by or kept for other instances.
   uint32_t Share_ = 0;       ///< Slots that this instance is entitled to.
   uint32_t Ceiling_ = UINT32_MAX; ///< Tasks that fitted when one was refused.
-  double Slowness_ = 1.0;         ///< Run time relative to the fleet's.
-  uint32_t FailureStreak_ = 0;    ///< Blamed failures since the last success.
-  uint32_t Ejections_ = 0;        ///< Successive ejections; doubles the time.
-  bool IsProbing_ = false;        ///< Ejection is over, next task decides.
+  SpeedEstimate Speed_;
+  uint32_t FailureStreak_ = 0; ///< Blamed failures since the last success.
+  uint32_t Ejections_ = 0;     ///< Successive ejections; doubles the time.
+  bool IsProbing_ = false;     ///< Ejection is over, next task decides.
   Milliseconds EjectedUntil_;
   Milliseconds PausedUntil_;  ///< After a refusal.
   Milliseconds LeavingUntil_; ///< It has said so itself; asked again then.
--- a/coordination/test/Routing/RouterTests.cpp
+++ b/coordination/test/Routing/RouterTests.cpp
@@ -18,7 +18,7 @@
     updateWorkers(Table_, Listed);
   }
   std::optional<uint32_t> choose(Milliseconds Now = 0_ms) {
-    return chooseWorker(Table_, Options_, 100, Generator_, Now);
+    return chooseWorker(Table_, Options_, 100, 1, Generator_, Now);
   }
   void fail(uint32_t Index, int Times, Milliseconds Now = 0_ms,
             double Rate = 1.0) {
@@ -28,7 +28,7 @@
 };
 
 TEST(Routing_, TakesTheFastestWorkerWithAFreeSlot) {
-  Table_.Workers_[3].Slowness_ = 0.5;
+  Table_.Workers_[3].Speed_.Slowness_ = 0.5;
   CHECK_EQUAL(3, *choose());
   Table_.Workers_[3].Outstanding_ = 2;
   CHECK(choose() != 3);
@@ -39,7 +39,7 @@
     Each.Outstanding_ = 2;
   CHECK_FALSE(choose().has_value());
   Table_.Workers_[4].Outstanding_ = 0;
-  Table_.Workers_[4].Slowness_ = 10;
+  Table_.Workers_[4].Speed_.Slowness_ = 10;
   CHECK_FALSE(choose().has_value());
 }
 
@@ -95,21 +95,21 @@
 };
 
 TEST(Estimation, LearnsKindsAndWorkersWhateverWasDeclared) {
-  double Fast = 1;
-  double Slow = 1;
+  SpeedEstimate Fast;
+  SpeedEstimate Slow;
   for (int Time = 0; Time < 300; ++Time) {
     observeRun(Learned_, Options_, "kind", Fast, 50_ms);
     observeRun(Learned_, Options_, "kind", Slow, 200_ms);
   }
   const double Kind = expectedRunMs(Learned_, "kind", 5'000_ms);
-  CHECK(Kind * Fast > 45 && Kind * Fast < 55);
-  CHECK(Kind * Slow > 180 && Kind * Slow < 220);
+  CHECK(Kind * Fast.Slowness_ > 45 && Kind * Fast.Slowness_ < 55);
+  CHECK(Kind * Slow.Slowness_ > 180 && Kind * Slow.Slowness_ < 220);
 }
 
 TEST(Estimation, IsMovedLittleByOneOutlier) {
-  double Slowness = 1;
+  SpeedEstimate Speed;
   for (int Time = 0; Time < 50; ++Time)
-    observeRun(Learned_, Options_, "kind", Slowness, 100_ms);
-  observeRun(Learned_, Options_, "kind", Slowness, 100'000_ms);
+    observeRun(Learned_, Options_, "kind", Speed, 100_ms);
+  observeRun(Learned_, Options_, "kind", Speed, 100'000_ms);
   CHECK(expectedRunMs(Learned_, "kind", 1_ms) < 140);
 }
--- a/ctl/Commands.cpp
+++ b/ctl/Commands.cpp
@@ -1,6 +1,7 @@
 #include "Commands.h"
 
 #include <fstream>
+#include <functional>
 #include <iomanip>
 #include <iostream>
 #include <marjorambend/Configuration>
@@ -180,39 +181,55 @@
   return ExitDone;
 }
 
-// Waits until every listed instance has the version in force, then reports.
-int awaitVersion(const CommandContext &C, uint64_t Version) {
+/// \brief How far something has spread over the listed instances.
+struct Spread {
+  std::vector<InstanceView> Views_;
+  std::size_t Missing_ = 0;
+};
+
+// Waits until every listed instance has it, or until the time is over.
+tl::expected<Spread, OperatorFailure>
+awaitEverywhere(const CommandContext &C,
+                const std::function<bool(const InstanceView &)> &HasIt) {
   const Milliseconds End = monotonicNow() + C.Wait_;
   while (true) {
-    const auto Views = viewInstances(C);
+    auto Views = viewInstances(C);
     if (!Views)
-      return fail(Views.error());
-    std::size_t Missing = 0;
-    for (const InstanceView &View : *Views)
-      Missing += versionOf(View) < Version ? 1 : 0;
-    const bool IsOver = monotonicNow() >= End;
-    if (Missing > 0 && !IsOver) {
-      C.Client_.pause(PollInterval);
-      continue;
-    }
-    if (C.IsJson_)
-      std::cout << Json{{"accepted", true},
-                        {"version", Version},
-                        {"in_force_everywhere", Missing == 0},
-                        {"instances", toJson(*Views)}}
-                       .dump()
-                << '\n';
-    else {
-      std::cout << "version " << Version << " is accepted and in force at "
-                << Views->size() - Missing << " of " << Views->size()
-                << " instances\n";
-      if (Missing > 0)
-        printInstances(*Views);
-    }
-    return Missing == 0 ? ExitDone : ExitNotEverywhere;
+      return tl::unexpected(Views.error());
+    Spread Reached{.Views_ = std::move(*Views)};
+    for (const InstanceView &View : Reached.Views_)
+      Reached.Missing_ += HasIt(View) ? 0 : 1;
+    if (Reached.Missing_ == 0 || monotonicNow() >= End)
+      return Reached;
+    C.Client_.pause(PollInterval);
   }
 }
 
+int reportSpread(const CommandContext &C, const Spread &Reached,
+                 const std::string &What, Json Details) {
+  const std::size_t All = Reached.Views_.size();
+  Details["in_force_everywhere"] = Reached.Missing_ == 0;
+  Details["instances"] = toJson(Reached.Views_);
+  if (C.IsJson_)
+    std::cout << Details.dump() << '\n';
+  else
+    std::cout << What << ", in force at " << All - Reached.Missing_ << " of "
+              << All << " instances\n";
+  if (!C.IsJson_ && Reached.Missing_ > 0)
+    printInstances(Reached.Views_);
+  return Reached.Missing_ == 0 ? ExitDone : ExitNotEverywhere;
+}
+
+int awaitVersion(const CommandContext &C, uint64_t Version) {
+  const auto Reached = awaitEverywhere(
+      C, [&](const InstanceView &View) { return versionOf(View) >= Version; });
+  if (!Reached)
+    return fail(Reached.error());
+  return reportSpread(C, *Reached,
+                      "version " + std::to_string(Version) + " is accepted",
+                      {{"accepted", true}, {"version", Version}});
+}
+
 int apply(const CommandContext &C, const Words &Given) {
   const auto File = checkFile(Given[1]);
   if (!File)
@@ -247,11 +264,16 @@
     return fail(Answer.error());
   if (Answer->Status_ != 200)
     return fail(ExitUsage, Answer->Body_.value("message", std::string{}));
-  std::cout << (C.IsJson_ ? Answer->Text_
-                          : Target + (IsDrained ? " is drained"
-                                                : " is no longer drained"))
-            << '\n';
-  return ExitDone;
+  const auto Order = Answer->Body_.value("fingerprint", std::string{});
+  const auto Reached = awaitEverywhere(C, [&](const InstanceView &View) {
+    return View.IsReached_ &&
+           View.Status_.value("drain_fingerprint", std::string{}) == Order;
+  });
+  if (!Reached)
+    return fail(Reached.error());
+  return reportSpread(C, *Reached,
+                      Target + (IsDrained ? " is drained" : " is not drained"),
+                      {{"target", Target}, {"drained", IsDrained}});
 }
 
 int drain(const CommandContext &C, const Words &Given) {
--- a/daemon/OperatorApi.cpp
+++ b/daemon/OperatorApi.cpp
@@ -22,7 +22,7 @@
               {"slots", Known.Spec_.Slots_},
               {"outstanding", Known.Outstanding_},
               {"peer_use", Known.PeerUse_},
-              {"slowness", Known.Slowness_},
+              {"slowness", Known.Speed_.Slowness_},
               {"listed", Known.IsListed_},
               {"leaving", Known.Spec_.Leaving_ || Now < Known.LeavingUntil_},
               {"drained", Known.IsDrained_},
@@ -86,7 +86,9 @@
     if (Entry.IsDrained_)
       Drained.push_back(Target);
   }
-  return Json{{"drained", Drained}}.dump();
+  return Json{{"drained", Drained},
+              {"fingerprint", formatHex(fingerprint(Map))}}
+      .dump();
 }
 
 HttpReply formatChange(const AnswerOperator &Answered) {
--- a/tools/load/Report.cpp
+++ b/tools/load/Report.cpp
@@ -150,6 +150,37 @@
           {"platform", Counts.Platform_}};
 }
 
+Json measureRecovery(const Callers &Run, const std::vector<Fault> &Faults,
+                     double Throughput) {
+  constexpr Milliseconds Watched{10'000};
+  constexpr double SlowFactor = 2.0;
+  constexpr double SlowMs = 500.0;
+  Json List = Json::array();
+  for (const Fault &One : Faults) {
+    int64_t Recovery = 0;
+    uint64_t Hit = 0;
+    for (const JobResult &Result : Run.results()) {
+      const LoadJob &Job = Run.jobs()[Result.Job_];
+      const Milliseconds Since = Job.At_ - One.At_;
+      if (Since < Milliseconds{} || Since > One.Length_ + Watched)
+        continue;
+      const double Bound = SlowFactor * idealMs(Job, Throughput) + SlowMs;
+      if (Result.IsComplete_ &&
+          static_cast<double>(Result.Latency_.Count_) <= Bound)
+        continue;
+      ++Hit;
+      Recovery = std::max(Recovery, Since.Count_);
+    }
+    List.push_back({{"fault", One.Name_},
+                    {"target", One.Target_},
+                    {"at_ms", One.At_.Count_},
+                    {"length_ms", One.Length_.Count_},
+                    {"recovery_ms", Recovery},
+                    {"jobs_failed_or_slow", Hit}});
+  }
+  return List;
+}
+
 std::string renderTable(const Json &S) {
   std::ostringstream Text;
   const auto Line = [&](const std::string &Name, const std::string &Value) {
@@ -176,6 +207,11 @@
   Line("jobs without any answer", Safety["unanswered"].dump());
   Line("refused as not run, but started",
        Safety["refused_as_not_run_but_started"].dump());
+  for (const Json &One : S.value("recovery", Json::array()))
+    Line("after " + One["fault"].get<std::string>() + ' ' +
+             One["target"].get<std::string>(),
+         "recovered in " + One["recovery_ms"].dump() + " ms, " +
+             One["jobs_failed_or_slow"].dump() + " jobs failed or slow");
   return Text.str();
 }
 
--- a/tools/load/Report.h
+++ b/tools/load/Report.h
@@ -2,6 +2,7 @@
 #define MARJORAMBEND_TOOLS_LOAD_REPORT_H
 
 #include "Callers.h"
+#include "Faults.h"
 
 #include <map>
 #include <nlohmann/json.hpp>
@@ -24,6 +25,15 @@
                                  const ProcessCounts &Counts,
                                  double Throughput);
 
+/// \brief How long after each fault jobs still failed or were slow.
+///
+/// The recovery of a fault is the time from its start to the submission of the
+/// last job, within its length and ten seconds more, that was not complete
+/// within twice its ideal time and half a second. 0 if there is none.
+nlohmann::ordered_json measureRecovery(const Callers &Run,
+                                       const std::vector<Fault> &Faults,
+                                       double Throughput);
+
 /// \brief The short table for people.
 std::string renderTable(const nlohmann::ordered_json &Summary);
 
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -96,6 +96,7 @@
     Schedule_ =
         std::make_unique<FaultSchedule>(Loop_, Client_, std::move(Victims));
     Schedule_->begin(*Faults);
+    Faults_ = std::move(*Faults);
     Callers_->begin([this] {
       Settle_ = std::make_unique<Timer>(Loop_, SettleTime, Timer::Mode::Once,
                                         [this] { collect(); });
@@ -188,6 +189,7 @@
     Summary["seed"] = FLAGS_seed;
     Summary["profile"] = FLAGS_profile;
     Summary["faults"] = FLAGS_faults;
+    Summary["recovery"] = measureRecovery(*Callers_, Faults_, FLAGS_throughput);
     IsSound_ = isSound(Summary);
     std::cout << "profile " << FLAGS_profile << ", seed " << FLAGS_seed
               << (FLAGS_faults.empty() ? "" : ", faults " + FLAGS_faults)
@@ -202,6 +204,7 @@
   HttpClient Client_;
   LoadProfile Profile_;
   std::unique_ptr<Callers> Callers_;
+  std::vector<Fault> Faults_;
   std::unique_ptr<FaultSchedule> Schedule_;
   std::unique_ptr<Timer> Settle_;
   ProcessCounts Counts_;
