Offer a free slot to the next jobs too; tell of a backlog at once

Cause: small jobs behind a large one took slow slots, or kept them idle for the large one: only the first job was offered a slot, and all waiting tasks counted as being before it. Refusals came from slots borrowed for up to 100 ms after their owner had a backlog again. Change: the first four jobs are offered a slot in turn; the tasks of the job itself count as waiting; a heartbeat goes out when a backlog begins.

--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -10,6 +10,9 @@
 // and are shorter stop overtaking it.
 static constexpr double OrderStretch = 5.0;
 
+// Number of jobs that are offered a free slot in turn.
+static constexpr std::size_t DispatchDepth = 4;
+
 static std::size_t payloadBytes(const JobRequest &Request) {
   std::size_t Bytes = 0;
   for (const std::string &Task : Request.Tasks_)
@@ -156,22 +159,32 @@
                                .TraceParent_ = formatTraceParent(Sent.Trace_)});
 }
 
-void dispatchTasks(Turn &T) {
+// Sends one task, of the first job that takes one of the free slots. A small
+// job may prefer to wait for a faster worker while a larger one behind it does
+// not. Returns whether anything has changed.
+static bool dispatchOne(Turn &T) {
   Instance &State = T.State_;
-  while (const auto Id = frontJob(State.Queue_)) {
-    JobRecord &Record = *findJob(State, *Id);
+  for (const JobId &Id : frontJobs(State.Queue_, DispatchDepth)) {
+    JobRecord &Record = *findJob(State, Id);
     if (Record.Deadline_ <= T.Now_) {
       failByState(T, Record, Reason::DeadlinePassed, comeBackTime(T));
-      continue;
+      return true;
     }
     const double RunMs =
         expectedRunMs(State.Estimator_, Record.Request_.Kind_, Milliseconds{1});
     const auto Chosen =
         chooseWorker(State.Workers_, State.Options_.Routing_, RunMs,
-                     State.Admission_.QueuedTasks_, State.Generator_, T.Now_);
+                     Record.Ready_.size(), State.Generator_, T.Now_);
     if (!Chosen)
-      return;
+      continue;
     sendTask(T, Record, *Chosen);
+    return true;
+  }
+  return false;
+}
+
+void dispatchTasks(Turn &T) {
+  while (dispatchOne(T)) {
   }
 }
 
--- a/coordination/marjorambend/src/Instance/Instance.cpp
+++ b/coordination/marjorambend/src/Instance/Instance.cpp
@@ -160,6 +160,7 @@
   internal::Turn T{.State_ = State, .Now_ = Now, .Out_ = Out};
   std::visit(internal::Dispatcher{T}, Happened);
   internal::dispatchTasks(T);
+  internal::announceBacklog(T);
   internal::sendClaims(T);
   return Out;
 }
--- a/coordination/marjorambend/src/Instance/Instance.h
+++ b/coordination/marjorambend/src/Instance/Instance.h
@@ -84,6 +84,7 @@
   uint64_t NextSend_ = 1;
 
   PeerTable Peers_;
+  bool HadBacklog_ = false; ///< When heartbeats were last due to say so.
   /// Links that are gone, and until when jobs held there wait for their return.
   std::vector<std::pair<Milliseconds, Incarnation>> LostPeers_;
 
--- a/coordination/marjorambend/src/Instance/Peers.cpp
+++ b/coordination/marjorambend/src/Instance/Peers.cpp
@@ -120,6 +120,20 @@
   }
 }
 
+// Slots are lent to the others while there is no backlog here; they are told as
+// soon as there is one.
+void announceBacklog(Turn &T) {
+  Instance &State = T.State_;
+  const bool HasBacklog = State.Queue_.Jobs_ > 0;
+  if (HasBacklog && !State.HadBacklog_) {
+    for (auto &[Run, Known] : State.Peers_.Peers_) {
+      if (Known.DataCentre_ == State.Options_.DataCentre_)
+        beatPeer(T, Known);
+    }
+  }
+  State.HadBacklog_ = HasBacklog;
+}
+
 static void onHeartbeat(Turn &T, Incarnation From, Heartbeat &Beat) {
   Instance &State = T.State_;
   Peer &Known = State.Peers_.Peers_[From];
--- a/coordination/marjorambend/src/Instance/Step.h
+++ b/coordination/marjorambend/src/Instance/Step.h
@@ -56,6 +56,7 @@
 void disconnectPeer(Turn &T, Incarnation Run);
 void receivePeer(Turn &T, PeerReceived Received);
 void beatPeers(Turn &T);
+void announceBacklog(Turn &T);
 void dropLostPeers(Turn &T);
 void sendPeer(Turn &T, Incarnation To, PeerMessage Message);
 /// @}
--- a/coordination/marjorambend/src/Jobs/FairQueue.cpp
+++ b/coordination/marjorambend/src/Jobs/FairQueue.cpp
@@ -38,15 +38,25 @@
     Class.Teams_.erase(Found);
 }
 
-std::optional<JobId> frontJob(const FairQueue &Queue) {
+std::vector<JobId> frontJobs(const FairQueue &Queue, std::size_t Most) {
+  std::vector<JobId> Front;
   for (const ClassQueue &Class : Queue.Classes_) {
-    if (Class.Order_.empty())
-      continue;
-    const auto &Team = std::get<1>(*Class.Order_.begin());
-    const TeamQueue &Entry = Class.Teams_.find(Team)->second;
-    return std::get<1>(*Entry.Jobs_.begin());
+    for (const auto &[Time, Team] : Class.Order_) {
+      for (const auto &[Key, Id] : Class.Teams_.find(Team)->second.Jobs_) {
+        if (Front.size() >= Most)
+          return Front;
+        Front.push_back(Id);
+      }
+    }
   }
-  return std::nullopt;
+  return Front;
+}
+
+std::optional<JobId> frontJob(const FairQueue &Queue) {
+  const std::vector<JobId> Front = frontJobs(Queue, 1);
+  if (Front.empty())
+    return std::nullopt;
+  return Front.front();
 }
 
 void chargeTeam(FairQueue &Queue, std::string_view Team, uint8_t Class,
--- a/coordination/marjorambend/src/Jobs/FairQueue.h
+++ b/coordination/marjorambend/src/Jobs/FairQueue.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
-#include <unordered_map>
+#include <vector>
 
 namespace marjorambend {
 
@@ -60,6 +60,10 @@
 /// \brief The job whose task is to be sent next.
 std::optional<JobId> frontJob(const FairQueue &Queue);
 
+/// \brief The first jobs in the order in which they are served, at most
+/// \p Most.
+std::vector<JobId> frontJobs(const FairQueue &Queue, std::size_t Most);
+
 /// \brief Charges \p Work to a team after one of its tasks was sent.
 void chargeTeam(FairQueue &Queue, std::string_view Team, uint8_t Class,
                 Milliseconds Work);
