--- a/coordination/marjorambend/src/Admission/Admission.cpp
+++ b/coordination/marjorambend/src/Admission/Admission.cpp
@@ -54,6 +54,8 @@
     return Refuse(Reason::QueueFull);
   if (Slots == 0)
     return Refuse(Reason::NoWorker);
+  if (Wait > Options.MaxWait_)
+    return Refuse(Reason::QueueFull);
   const Milliseconds Needed = Wait + internal::jobTime(Demand, Slots);
   const double Usable =
       static_cast<double>(Demand.Remaining_.Count_) * Options.DeadlineMargin_;
--- a/coordination/marjorambend/src/Admission/Admission.h
+++ b/coordination/marjorambend/src/Admission/Admission.h
@@ -19,6 +19,7 @@
 struct AdmissionOptions {
   std::size_t MaxQueuedTasks_ = 50'000;
   std::size_t MaxQueuedBytes_ = 64U << 20U;
+  Milliseconds MaxWait_{1'500}; ///< Longest wait for a first slot.
   double DeadlineMargin_ = 1.0; ///< Share of the deadline that may be used.
   Milliseconds MinRetryAfter_{50};
   Milliseconds MaxRetryAfter_{10'000};
@@ -52,6 +53,9 @@
 /// \brief Decides whether a job can be complete before its deadline, within
 /// the bounds and the team's quota.
 ///
+/// A long queue serves nobody better than a short one: what would wait longer
+/// than the bound is refused, and told when to come back.
+///
 /// \param Slots tasks that the instance may run at a time.
 tl::expected<void, Refusal> admit(const Admission &State,
                                   const AdmissionOptions &Options,
--- a/coordination/test/Admission/AdmissionTests.cpp
+++ b/coordination/test/Admission/AdmissionTests.cpp
@@ -43,6 +43,17 @@
   CHECK(verdict() == Reason::DeadlineTooShort);
 }
 
+TEST(Admitting, KeepsTheQueueShort) {
+  Options_.MaxWait_ = 200_ms;
+  Demand_.Remaining_ = 60'000_ms;
+  Demand_.Tasks_ = 20;
+  Demand_.Bytes_ = 0;
+  noteAdmitted(State_, Demand_);
+  CHECK(verdict() == Reason::None);
+  noteAdmitted(State_, Demand_);
+  CHECK(verdict() == Reason::QueueFull);
+}
+
 TEST(Admitting, BoundsTasksAndBytes) {
   Demand_.Tasks_ = 101;
   Demand_.TaskMs_ = 1;
--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -30,6 +30,7 @@
   Options.Routing_.Policy_ = policyOf(S.routing_policy);
   Options.Admission_.MaxQueuedTasks_ = S.max_queued_tasks;
   Options.Admission_.MaxQueuedBytes_ = S.max_queued_bytes;
+  Options.Admission_.MaxWait_ = {S.max_wait_ms};
   Options.Retry_.IsUnlimited_ = S.unlimited_retries;
   Options.Claims_.Spacing_ = {S.claim_spacing_ms};
   Options.Peers_.Silence_ = {S.peer_silence_ms};
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -100,6 +100,7 @@
     fleet_start_instance "$name" "$centre" "$place"
   done < <(fleet_names)
   "$FLEET_BUILD/tools/loadtool" --profile "$FLEET_PROFILE" --print_catalogue \
+    --declared_factor "${FLEET_DECLARED:-1}" \
     > "$FLEET_RUN/catalogue.json"
   local tries=0
   until fleet_ctl apply "$FLEET_RUN/catalogue.json" > "$FLEET_RUN/apply.log" 2>&1; do
--- a/tools/load/Workload.cpp
+++ b/tools/load/Workload.cpp
@@ -35,7 +35,9 @@
                      {"weight-certification", false, 2, 0.2, 140, 0.5}}};
 }
 
-std::string makeCatalogue(const LoadProfile &Profile) {
+std::string makeCatalogue(const LoadProfile &Profile, double DeclaredFactor) {
+  const auto Declared = std::max<int64_t>(
+      1, std::lround(DeclaredFactor * static_cast<double>(DeclaredRunMs)));
   nlohmann::ordered_json Kinds = nlohmann::ordered_json::array();
   for (const LoadKind &Kind : Profile.Kinds_)
     Kinds.push_back({{"name", Kind.Name_},
@@ -43,7 +45,7 @@
                      {"urgency", 0},
                      {"idempotent", Kind.IsIdempotent_},
                      {"value", Kind.Value_},
-                     {"declared_run_ms", DeclaredRunMs},
+                     {"declared_run_ms", Declared},
                      {"max_run_ms", LostAfterMs}});
   const nlohmann::ordered_json Catalogue{{"teams", {{{"name", Profile.Team_}}}},
                                          {"kinds", Kinds}};
--- a/tools/load/Workload.h
+++ b/tools/load/Workload.h
@@ -47,7 +47,9 @@
 LoadProfile makeProfile(std::string_view Name);
 
 /// \brief The catalogue that the profile needs, as JSON text.
-std::string makeCatalogue(const LoadProfile &Profile);
+///
+/// \param DeclaredFactor multiplies the declared run times.
+std::string makeCatalogue(const LoadProfile &Profile, double DeclaredFactor);
 
 /// \brief All jobs of a run, by growing time: Poisson arrivals.
 std::vector<LoadJob> makeJobs(const LoadProfile &Profile,
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -33,6 +33,7 @@
               "slots divided by slowness, summed over one data centre");
 DEFINE_string(faults, "", "faults, by semicolons; see tools/load/Faults.h");
 DEFINE_string(result, "", "file for the machine-readable result");
+DEFINE_double(declared_factor, 1, "declared run times, as a multiple");
 DEFINE_bool(print_catalogue, false, "print the profile's catalogue and exit");
 
 namespace marjorambend {
@@ -221,7 +222,8 @@
   signal(SIGPIPE, SIG_IGN);
   if (FLAGS_print_catalogue) {
     std::cout << marjorambend::makeCatalogue(
-                     marjorambend::makeProfile(FLAGS_profile))
+                     marjorambend::makeProfile(FLAGS_profile),
+                     FLAGS_declared_factor)
               << '\n';
     return 0;
   }
