Count only the work that is served before a job; prefer slots of one's own

Change: the wait is the work of more urgent classes and of jobs with a smaller key. Slots beyond the own share cost a quarter more; a worker that refused for lack of slots is left alone for 100 ms, the interval of heartbeats.

--- a/coordination/marjorambend/src/Admission/Admission.cpp
+++ b/coordination/marjorambend/src/Admission/Admission.cpp
@@ -39,11 +39,15 @@
                                   const AdmissionOptions &Options,
                                   const JobDemand &Demand, uint32_t Slots,
                                   Random &Generator) {
-  const Milliseconds Wait = expectedWait(State, Demand.Class_, Slots);
+  const Milliseconds Wait{
+      static_cast<int64_t>(Demand.AheadMs_ / std::max(1U, Slots))};
+  const Milliseconds JobTime = internal::jobTime(Demand, Slots);
+  const Milliseconds Bound = std::max(Options.MaxWait_, JobTime);
+  const Milliseconds Excess = std::max(Milliseconds{}, Wait - Bound);
   auto Refuse = [&](Reason Why) {
     return tl::unexpected(
         Refusal{.Reason_ = Why,
-                .RetryAfter_ = spreadRetryAfter(Options, Wait, Generator)});
+                .RetryAfter_ = spreadRetryAfter(Options, Excess, Generator)});
   };
   const uint32_t InUse = internal::teamTasks(State, Demand.Team_);
   if (Demand.TeamQuota_ != 0 && InUse + Demand.Tasks_ > Demand.TeamQuota_)
@@ -54,9 +58,9 @@
     return Refuse(Reason::QueueFull);
   if (Slots == 0)
     return Refuse(Reason::NoWorker);
-  if (Wait > Options.MaxWait_)
+  if (Wait > Bound)
     return Refuse(Reason::QueueFull);
-  const Milliseconds Needed = Wait + internal::jobTime(Demand, Slots);
+  const Milliseconds Needed = Wait + JobTime;
   const double Usable =
       static_cast<double>(Demand.Remaining_.Count_) * Options.DeadlineMargin_;
   if (static_cast<double>(Needed.Count_) > Usable)
--- a/coordination/marjorambend/src/Admission/Admission.h
+++ b/coordination/marjorambend/src/Admission/Admission.h
@@ -19,7 +19,8 @@
 struct AdmissionOptions {
   std::size_t MaxQueuedTasks_ = 50'000;
   std::size_t MaxQueuedBytes_ = 64U << 20U;
-  Milliseconds MaxWait_{1'500}; ///< Longest wait for a first slot.
+  Milliseconds MaxWait_{
+      1'500}; ///< Longest wait for a slot, or the job's own time.
   double DeadlineMargin_ = 1.0; ///< Share of the deadline that may be used.
   Milliseconds MinRetryAfter_{50};
   Milliseconds MaxRetryAfter_{10'000};
@@ -40,6 +41,7 @@
   std::size_t Tasks_ = 0;
   std::size_t Bytes_ = 0;
   double TaskMs_ = 0;      ///< Expected run time of one task.
+  double AheadMs_ = 0;     ///< Work that is served before it.
   Milliseconds Remaining_; ///< Until the deadline.
   uint32_t TeamQuota_ = 0; ///< Most tasks of the team here; 0: no quota.
 };
--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -62,13 +62,34 @@
           Team == nullptr ? 1.0 : Team->Weight_, queuedJob(Record));
 }
 
-static void queueTasks(Turn &T, JobRecord &Record, uint32_t Slots) {
-  const auto Count = static_cast<uint32_t>(Record.Request_.Tasks_.size());
-  const double Rounds =
-      std::ceil(static_cast<double>(Count) / std::max(1U, Slots));
+// Jobs with little work overtake those with much, up to a bound.
+static Milliseconds orderKey(const JobRecord &Record, uint32_t Slots) {
+  const double Rounds = std::ceil(
+      static_cast<double>(Record.Request_.Tasks_.size()) / std::max(1U, Slots));
   const double IdealMs = Rounds * Record.TaskMs_;
-  Record.OrderKey_ = Record.ReceivedAt_ +
-                     Milliseconds{static_cast<int64_t>(OrderStretch * IdealMs)};
+  return Record.ReceivedAt_ +
+         Milliseconds{static_cast<int64_t>(OrderStretch * IdealMs)};
+}
+
+// Work of the jobs that are served before a job with that class and key.
+static double workAhead(const Instance &State, uint8_t Class,
+                        Milliseconds Key) {
+  double SumMs = 0;
+  for (uint8_t Ahead = 0; Ahead <= Class; ++Ahead) {
+    for (const auto &[Name, Team] : State.Queue_.Classes_[Ahead].Teams_) {
+      for (const auto &[JobKey, Id] : Team.Jobs_) {
+        if (Ahead == Class && JobKey > Key)
+          break;
+        const JobRecord &Record = State.Jobs_.at(Id);
+        SumMs += Record.TaskMs_ * static_cast<double>(Record.Ready_.size());
+      }
+    }
+  }
+  return SumMs;
+}
+
+static void queueTasks(Turn &T, JobRecord &Record) {
+  const auto Count = static_cast<uint32_t>(Record.Request_.Tasks_.size());
   Record.Tasks_.assign(Count, TaskRecord{});
   Record.Results_.assign(Count, std::string{});
   Record.Done_ = 0;
@@ -99,14 +120,17 @@
   Record.Class_ = Kind->Urgency_;
   Record.TaskMs_ =
       expectedRunMs(State.Estimator_, Kind->Name_, Kind->DeclaredRun_);
+  const uint32_t Slots = capacityOf(State.Workers_, T.Now_).Slots_;
+  Record.OrderKey_ = orderKey(Record, Slots);
   const JobDemand Demand{.Team_ = Request.Team_,
                          .Class_ = Record.Class_,
                          .Tasks_ = Request.Tasks_.size(),
                          .Bytes_ = payloadBytes(Request),
                          .TaskMs_ = Record.TaskMs_,
+                         .AheadMs_ =
+                             workAhead(State, Record.Class_, Record.OrderKey_),
                          .Remaining_ = Record.Deadline_ - T.Now_,
                          .TeamQuota_ = quotaHere(State, Request.Team_)};
-  const uint32_t Slots = capacityOf(State.Workers_, T.Now_).Slots_;
   const auto Verdict = admit(State.Admission_, State.Options_.Admission_,
                              Demand, Slots, State.Generator_);
   if (!Verdict) {
@@ -115,7 +139,7 @@
     return;
   }
   noteAdmitted(State.Admission_, Demand);
-  queueTasks(T, Record, Slots);
+  queueTasks(T, Record);
 }
 
 // The task counts as possibly run before its first byte can leave.
--- a/coordination/marjorambend/src/Routing/Router.cpp
+++ b/coordination/marjorambend/src/Routing/Router.cpp
@@ -13,11 +13,17 @@
 }
 
 // Lower is better. A worker that is already busy is somewhat less attractive
-// than an idle one of the same speed.
+// than an idle one of the same speed, and a slot that belongs to another
+// instance less than one of this instance: others may take it at any moment.
 static double costOf(const Worker &Candidate, double RunMs) {
+  constexpr double LoadPenalty = 0.05;
+  constexpr double BorrowPenalty = 0.25;
   const double Load = static_cast<double>(Candidate.Outstanding_) /
                       std::max<uint32_t>(1, Candidate.Spec_.Slots_);
-  return RunMs * Candidate.Speed_.Slowness_ * (1.0 + 0.05 * Load);
+  const bool IsBorrowed = Candidate.Outstanding_ >= Candidate.Share_;
+  const double Penalty =
+      LoadPenalty * Load + (IsBorrowed ? BorrowPenalty : 0.0);
+  return RunMs * Candidate.Speed_.Slowness_ * (1.0 + Penalty);
 }
 
 // Time until a slot of a worker that is clearly faster is expected to be free
--- a/coordination/marjorambend/src/Routing/RoutingTypes.h
+++ b/coordination/marjorambend/src/Routing/RoutingTypes.h
@@ -26,7 +26,7 @@
   double BlameFloor_ = 0.5;       ///< Least success rate of a kind to blame.
   Milliseconds EjectionBase_{2'000};
   Milliseconds EjectionMax_{60'000};
-  Milliseconds RefusalPause_{30};     ///< After a refusal for lack of slots.
+  Milliseconds RefusalPause_{100};    ///< After a refusal for lack of slots.
   Milliseconds DeniedPause_{500};     ///< The same, without retry budget.
   Milliseconds ConnectPause_{1'000};  ///< After a connection was refused.
   Milliseconds LeavingPause_{60'000}; ///< After it has said it is leaving.
