--- a/coordination/marjorambend/src/Membership/PeerTable.cpp
+++ b/coordination/marjorambend/src/Membership/PeerTable.cpp
@@ -66,9 +66,8 @@
   for (Worker &Shared : Workers.Workers_) {
     const uint32_t Hash = hashName(Shared.Spec_.Name_);
     Shared.PeerUse_ = 0;
-    const uint32_t OwnRank = rankOf(Sharers, Self, Self, Hash);
-    Shared.Share_ = shareOf(Shared.Spec_.Slots_, Members, OwnRank);
-    Shared.IsPrimary_ = OwnRank == 0;
+    Shared.Share_ = shareOf(Shared.Spec_.Slots_, Members,
+                            rankOf(Sharers, Self, Self, Hash));
     for (const Sharer &Other : Sharers) {
       uint32_t Use = useOf(Other, Hash);
       if (Other.HasBacklog_) {
--- a/coordination/marjorambend/src/Routing/Router.cpp
+++ b/coordination/marjorambend/src/Routing/Router.cpp
@@ -13,19 +13,16 @@
 }
 
 // Lower is better. A worker that is already busy is somewhat less attractive
-// than an idle one of the same speed. Each instance fills the workers first for
-// which it is the primary one, and borrows slots last, so that instances seldom
-// meet at one worker.
+// than an idle one of the same speed, and a slot that belongs to another
+// instance less than one of this instance: others may take it at any moment.
 static double costOf(const Worker &Candidate, double RunMs) {
   constexpr double LoadPenalty = 0.05;
-  constexpr double SecondaryPenalty = 0.10;
-  constexpr double BorrowPenalty = 0.20;
-  double Penalty = LoadPenalty * Candidate.Outstanding_ /
-                   std::max<uint32_t>(1, Candidate.Spec_.Slots_);
-  if (!Candidate.IsPrimary_)
-    Penalty += SecondaryPenalty;
-  if (Candidate.Outstanding_ >= Candidate.Share_)
-    Penalty += BorrowPenalty;
+  constexpr double BorrowPenalty = 0.25;
+  const double Load = static_cast<double>(Candidate.Outstanding_) /
+                      std::max<uint32_t>(1, Candidate.Spec_.Slots_);
+  const bool IsBorrowed = Candidate.Outstanding_ >= Candidate.Share_;
+  const double Penalty =
+      LoadPenalty * Load + (IsBorrowed ? BorrowPenalty : 0.0);
   return RunMs * Candidate.Speed_.Slowness_ * (1.0 + Penalty);
 }
 
--- a/coordination/marjorambend/src/Routing/WorkerTable.h
+++ b/coordination/marjorambend/src/Routing/WorkerTable.h
@@ -22,7 +22,6 @@
   uint32_t Outstanding_ = 0; ///< Tasks of this instance under way.
   uint32_t PeerUse_ = 0;     ///< Slots used by or kept for other instances.
   uint32_t Share_ = 0;       ///< Slots that this instance is entitled to.
-  bool IsPrimary_ = true;    ///< Whether this instance is the first to fill it.
   uint32_t Ceiling_ = UINT32_MAX; ///< Tasks that fitted when one was refused.
   SpeedEstimate Speed_;
   uint32_t FailureStreak_ = 0; ///< Blamed failures since the last success.
