--- a/bench/coordination_bench.cpp
+++ b/bench/coordination_bench.cpp
@@ -60,7 +60,7 @@
       Known.Uses_.push_back({hashName(Each.Spec_.Name_), 2});
   }
   for (auto Turn : Run)
-    sharePeerUse(Peers, {9}, "a", Table);
+    sharePeerUse(Peers, {9}, "a", 1, Table);
 }
 BENCHMARK(shareSlotsCost)->Arg(17)->Arg(50)->Arg(275)->Arg(2200);
 
--- a/coordination/marjorambend/src/Instance/Peers.cpp
+++ b/coordination/marjorambend/src/Instance/Peers.cpp
@@ -23,7 +23,7 @@
 static void sharePeers(Turn &T) {
   Instance &State = T.State_;
   sharePeerUse(State.Peers_, State.Self_, State.Options_.DataCentre_,
-               State.Workers_);
+               State.Options_.Peers_.SlotHeadroom_, State.Workers_);
 }
 
 void connectPeer(Turn &T, const PeerConnected &Connected) {
--- a/coordination/marjorambend/src/Instance/Settlement.cpp
+++ b/coordination/marjorambend/src/Instance/Settlement.cpp
@@ -114,7 +114,7 @@
   updateWorkers(State.Workers_, Here);
   applyDrains(T);
   sharePeerUse(State.Peers_, State.Self_, State.Options_.DataCentre_,
-               State.Workers_);
+               State.Options_.Peers_.SlotHeadroom_, State.Workers_);
 }
 
 void readRow(Turn &T, const RowRead &Row) {
--- a/coordination/marjorambend/src/Membership/PeerTable.cpp
+++ b/coordination/marjorambend/src/Membership/PeerTable.cpp
@@ -59,7 +59,8 @@
 }
 
 void sharePeerUse(const PeerTable &Peers, Incarnation Self,
-                  std::string_view DataCentre, WorkerTable &Workers) {
+                  std::string_view DataCentre, uint32_t Headroom,
+                  WorkerTable &Workers) {
   using namespace internal;
   const std::vector<Sharer> Sharers = sharersOf(Peers, DataCentre);
   const auto Members = static_cast<uint32_t>(Sharers.size() + 1);
@@ -69,12 +70,12 @@
     Shared.Share_ = shareOf(Shared.Spec_.Slots_, Members,
                             rankOf(Sharers, Self, Self, Hash));
     for (const Sharer &Other : Sharers) {
-      uint32_t Use = useOf(Other, Hash);
-      if (Other.HasBacklog_) {
-        const uint32_t Rank = rankOf(Sharers, Self, Other.Run_, Hash);
-        Use = std::max(Use, shareOf(Shared.Spec_.Slots_, Members, Rank));
-      }
-      Shared.PeerUse_ += Use;
+      const uint32_t Use = useOf(Other, Hash);
+      const uint32_t Rank = rankOf(Sharers, Self, Other.Run_, Hash);
+      const uint32_t Share = shareOf(Shared.Spec_.Slots_, Members, Rank);
+      const uint32_t Kept =
+          Other.HasBacklog_ ? Share : std::min(Share, Use + Headroom);
+      Shared.PeerUse_ += std::max(Use, Kept);
     }
   }
 }
--- a/coordination/marjorambend/src/Membership/PeerTable.h
+++ b/coordination/marjorambend/src/Membership/PeerTable.h
@@ -18,6 +18,7 @@
   Milliseconds HeartbeatNear_{100};  ///< To instances of the data centre.
   Milliseconds HeartbeatFar_{1'000}; ///< To instances of other data centres.
   Milliseconds Silence_{3'000};      ///< A link without heartbeat is replaced.
+  uint32_t SlotHeadroom_ = 1;        ///< See sharePeerUse.
   Milliseconds Reconnect_{1'000};    ///< Time a lost link may take to return.
 };
 
@@ -53,9 +54,13 @@
 ///
 /// Slots are split evenly between the instances of a data centre; the slots
 /// that remain go to instances in an order that differs from worker to worker.
-/// An instance without backlog lends what it does not use.
+/// An instance without backlog lends what it does not use, but for a headroom.
+///
+/// \param Headroom slots of its share that an instance without backlog keeps at
+/// each worker, so that it can begin at once without meeting a borrower.
 void sharePeerUse(const PeerTable &Peers, Incarnation Self,
-                  std::string_view DataCentre, WorkerTable &Workers);
+                  std::string_view DataCentre, uint32_t Headroom,
+                  WorkerTable &Workers);
 
 } // namespace marjorambend
 
--- a/coordination/test/Membership/MembershipTests.cpp
+++ b/coordination/test/Membership/MembershipTests.cpp
@@ -60,6 +60,7 @@
   WorkerTable Workers_;
   PeerTable Peers_;
   static constexpr Incarnation Self_{5};
+  uint32_t Headroom_ = 0;
 
   void setup() override {
     updateWorkers(Workers_,
@@ -73,7 +74,7 @@
                             .Uses_ = {{hashName("w0"), Uses}}};
   }
   uint32_t limit(std::size_t Worker) {
-    sharePeerUse(Peers_, Self_, "a", Workers_);
+    sharePeerUse(Peers_, Self_, "a", Headroom_, Workers_);
     return slotLimit(Workers_.Workers_[Worker]);
   }
 };
@@ -86,6 +87,13 @@
   CHECK_EQUAL(8, limit(1));
 }
 
+TEST(SlotSharing, KeepsAHeadroomForAnIdleInstance) {
+  Headroom_ = 1;
+  addPeer(7, false, 3);
+  CHECK_EQUAL(4, limit(0));
+  CHECK_EQUAL(7, limit(1));
+}
+
 TEST(SlotSharing, KeepsTheShareOfAnInstanceWithBacklog) {
   addPeer(7, true, 3);
   CHECK_EQUAL(4, limit(0));
@@ -108,7 +116,7 @@
           Peers.Peers_[{Other}] = {
               .Run_ = {Other}, .DataCentre_ = "a", .HasBacklog_ = true};
       }
-      sharePeerUse(Peers, {Self}, "a", Workers);
+      sharePeerUse(Peers, {Self}, "a", 1, Workers);
       Sum += slotLimit(Workers.Workers_[0]);
       RC_ASSERT(Workers.Workers_[0].Share_ == slotLimit(Workers.Workers_[0]));
     }
--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -33,6 +33,7 @@
   Options.Admission_.MaxWait_ = {S.max_wait_ms};
   Options.Retry_.IsUnlimited_ = S.unlimited_retries;
   Options.Claims_.Spacing_ = {S.claim_spacing_ms};
+  Options.Peers_.SlotHeadroom_ = static_cast<uint32_t>(S.slot_headroom);
   Options.Peers_.Silence_ = {S.peer_silence_ms};
   Options.IdentityWindow_ = {S.identity_window_ms};
   Options.ClaimRetention_ = {S.claim_retention_ms};
