--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -10,10 +10,6 @@
 // and are shorter stop overtaking it.
 static constexpr double OrderStretch = 5.0;
 
-// Time that a job has left when it is no longer overtaken, as a multiple of its
-// ideal time.
-static constexpr double DeadlineReserve = 1.0;
-
 // Number of jobs that are offered a free slot in turn.
 static constexpr std::size_t DispatchDepth = 4;
 
@@ -66,17 +62,14 @@
           Team == nullptr ? 1.0 : Team->Weight_, queuedJob(Record));
 }
 
-// Jobs with little work overtake those with much, up to a bound and as long as
-// the deadline of the larger job leaves it time enough.
+// Jobs with little work overtake those with much, up to a bound.
 static Milliseconds orderKey(const JobRecord &Record, uint32_t Slots) {
-  const double Rounds = std::ceil(
-      static_cast<double>(Record.Request_.Tasks_.size()) / std::max(1U, Slots));
+  const double Rounds =
+      std::ceil(static_cast<double>(Record.Request_.Tasks_.size()) /
+                std::max(1U, Slots));
   const double IdealMs = Rounds * Record.TaskMs_;
-  const Milliseconds Stretched{static_cast<int64_t>(OrderStretch * IdealMs)};
-  const Milliseconds Needed{static_cast<int64_t>(DeadlineReserve * IdealMs)};
-  const Milliseconds Latest =
-      std::max(Record.ReceivedAt_, Record.Deadline_ - Needed);
-  return std::min(Record.ReceivedAt_ + Stretched, Latest);
+  return Record.ReceivedAt_ +
+         Milliseconds{static_cast<int64_t>(OrderStretch * IdealMs)};
 }
 
 // Work of the jobs that are served before a job with that class and key.
