--- a/tools/load/Report.cpp
+++ b/tools/load/Report.cpp
@@ -39,6 +39,7 @@
   uint64_t Tasks_ = 0;
   uint64_t Complete_ = 0;
   uint64_t CompleteTasks_ = 0;
+  uint64_t TasksInTime_ = 0; ///< Complete before the arrivals ended.
   uint64_t Cancelled_ = 0;
   uint64_t Unanswered_ = 0;
   uint64_t Wrong_ = 0;
@@ -53,7 +54,7 @@
 };
 
 void addJob(Tally &Sum, const JobResult &Result, const LoadJob &Job,
-            const LoadKind &Kind, double Throughput) {
+            const LoadKind &Kind, double Throughput, Milliseconds ArrivalsEnd) {
   ++Sum.Jobs_;
   Sum.Tasks_ += Job.RunMs_.size();
   Sum.Sends_ += Result.Sends_;
@@ -69,6 +70,8 @@
   ++Sum.Complete_;
   ++Sum.UsefulSends_;
   Sum.CompleteTasks_ += Job.RunMs_.size();
+  if (Result.CompleteAt_ <= ArrivalsEnd)
+    Sum.TasksInTime_ += Job.RunMs_.size();
   const auto Latency = static_cast<double>(Result.Latency_.Count_);
   const double Ideal = idealMs(Job, Throughput);
   const double Slowdown = std::max(0.0, (Latency - Ideal) / Ideal);
@@ -129,14 +132,20 @@
 Json summarise(const Callers &Run, const LoadProfile &Profile,
                const ProcessCounts &Counts, double Throughput) {
   Tally Sum;
+  const Milliseconds ArrivalsEnd =
+      Run.jobs().empty() ? Milliseconds{1} : Run.jobs().back().At_;
   for (const JobResult &Result : Run.results()) {
     const LoadJob &Job = Run.jobs()[Result.Job_];
-    addJob(Sum, Result, Job, Profile.Kinds_[Job.Kind_], Throughput);
+    addJob(Sum, Result, Job, Profile.Kinds_[Job.Kind_], Throughput,
+           ArrivalsEnd);
   }
   return {{"jobs", Sum.Jobs_},
           {"tasks", Sum.Tasks_},
           {"complete", Sum.Complete_},
           {"complete_tasks", Sum.CompleteTasks_},
+          {"good_tasks_per_s",
+           round3(1000.0 * static_cast<double>(Sum.TasksInTime_) /
+                  static_cast<double>(ArrivalsEnd.Count_))},
           {"cancelled", Sum.Cancelled_},
           {"failed", Sum.Failed_},
           {"broken_connections", Sum.Broken_},
