--- a/coordination/marjorambend/src/Instance/Submission.cpp
+++ b/coordination/marjorambend/src/Instance/Submission.cpp
@@ -29,7 +29,10 @@
   Record.Attempt_ = T.State_.NextAttempt_++;
   Record.ReceivedAt_ = T.Now_;
   Record.Deadline_ = T.Now_ + Record.Request_.Timeout_;
-  T.State_.Deadlines_.emplace(Record.Deadline_, Record.Request_.Id_);
+  // A deadline that has passed already is answered once the claim shows that
+  // the job was not run.
+  if (Record.Request_.Timeout_ > Milliseconds{})
+    T.State_.Deadlines_.emplace(Record.Deadline_, Record.Request_.Id_);
 }
 
 static void beginClaim(Turn &T, JobRecord &Record) {
--- a/coordination/test/Golden/Sessions.cpp
+++ b/coordination/test/Golden/Sessions.cpp
@@ -139,6 +139,17 @@
   checkGolden(S);
 }
 
+TEST(AJob, WhoseDeadlineHasPassedIsRefusedOnceItsClaimIsSettled) {
+  Session S("deadline-in-the-past");
+  S.prepare();
+  JobRequest Job = S.job(1);
+  Job.Timeout_ = 0_ms;
+  const Actions Wanted = S.happen(JobSubmitted{1, Job}, 50_ms);
+  S.pass(30_ms);
+  S.happen(claimed(Wanted, S.state().Self_), 5_ms);
+  checkGolden(S);
+}
+
 TEST(AJob, OfAnUnknownKindStaysRefused) {
   Session S("unknown-kind");
   S.prepare();
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -53,5 +53,11 @@
 step "tests with sanitizers"
 ctest --test-dir "$BUILD-sanitize" --output-on-failure --timeout 300 -j 4
 
+step "the real programs, end to end, with sanitizers"
+scripts/end-to-end.sh "$BUILD-sanitize"
+
+step "the real programs, end to end"
+scripts/end-to-end.sh "$BUILD"
+
 step "tests"
 ctest --test-dir "$BUILD" --output-on-failure --timeout 300 -j 4
