--- a/bench/coordination_bench.cpp
+++ b/bench/coordination_bench.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// \brief What one decision costs, and how the cost grows with the size.
 
+#include "Fixtures.h"
+
 #include <benchmark/benchmark.h>
 #include <marjorambend/Admission>
 #include <marjorambend/Claims>
@@ -11,34 +13,7 @@
 #include <marjorambend/Routing>
 
 using namespace marjorambend;
-
-static constexpr Milliseconds Now{10'000};
-static constexpr Milliseconds Wall{1'796'000'000'000};
-
-static std::vector<WorkerSpec> makeWorkers(int64_t Count) {
-  std::vector<WorkerSpec> Listed;
-  for (int64_t Index = 0; Index < Count; ++Index)
-    Listed.push_back({.Name_ = "worker-" + std::to_string(Index),
-                      .DataCentre_ = "a",
-                      .Slots_ = 8,
-                      .Connections_ = 64});
-  return Listed;
-}
-
-static std::string makeCatalogueText(int64_t Teams) {
-  std::string TeamList;
-  std::string KindList;
-  for (int64_t Index = 0; Index < Teams; ++Index) {
-    const std::string Number = std::to_string(Index);
-    const std::string Comma = Index == 0 ? "" : ",";
-    TeamList += Comma;
-    TeamList += R"({"name":"team-)" + Number + R"("})";
-    KindList += Comma;
-    KindList += R"({"name":"kind-)" + Number + R"(","owner":"team-)" + Number +
-                R"(","urgency":0,"declared_run_ms":100})";
-  }
-  return R"({"teams":[)" + TeamList + R"(],"kinds":[)" + KindList + "]}";
-}
+using namespace marjorambend::bench;
 
 static void chooseWorkerCost(benchmark::State &Run) {
   WorkerTable Table;
@@ -107,42 +82,14 @@
 }
 BENCHMARK(parseCatalogueCost)->Arg(2)->Arg(31)->Arg(310);
 
-static Instance makeReady(int64_t Workers) {
-  Instance State = makeInstance({.DataCentre_ = "a"}, 1);
-  step(State, Tick{Wall}, Now);
-  step(State,
-       RowRead{std::string(CatalogueKey), 1,
-               packCatalogue(1, makeCatalogueText(2))},
-       Now);
-  step(State, WorkersListed{makeWorkers(Workers)}, Now);
-  State.KnowsDrains_ = true;
-  return State;
-}
-
 // Submission, start of each task, result of each task, answer.
 static void wholeJobCost(benchmark::State &Run) {
-  Instance State = makeReady(Run.range(0));
+  Instance State = makeReady(Run.range(0), 2);
   const std::vector<std::string> Tasks(static_cast<std::size_t>(Run.range(1)),
                                        "payload");
   uint64_t Token = 0;
   for (auto Turn : Run) {
-    const JobRequest Request{.Id_ = reserveJobIds(State, 1).front(),
-                             .Team_ = "team-0",
-                             .Kind_ = "kind-0",
-                             .Tasks_ = Tasks,
-                             .Timeout_ = Milliseconds{60'000}};
-    Actions Wanted = step(State, JobSubmitted{++Token, Request}, Now);
-    for (std::size_t Index = 0; Index < Wanted.size(); ++Index) {
-      const auto *Send = std::get_if<SendTask>(&Wanted[Index]);
-      if (Send == nullptr)
-        continue;
-      Actions More = step(State,
-                          TaskFinished{.Send_ = Send->Send_,
-                                       .Result_ = TaskResult::Succeeded,
-                                       .Body_ = "result"},
-                          Now + Milliseconds{100});
-      Wanted.insert(Wanted.end(), More.begin(), More.end());
-    }
+    runJob(State, Tasks, ++Token);
     // Keeps the table of finished jobs at a constant size.
     if (State.Jobs_.size() > 1'000) {
       State.Jobs_.clear();
@@ -160,7 +107,7 @@
     ->Args({275, 1000});
 
 static void idleTickCost(benchmark::State &Run) {
-  Instance State = makeReady(Run.range(0));
+  Instance State = makeReady(Run.range(0), 2);
   for (int64_t Other = 0; Other < Run.range(1); ++Other)
     step(State, PeerConnected{{static_cast<uint64_t>(Other + 1)}, "other", "a"},
          Now);
