--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -122,7 +122,7 @@
 
 fleet_load() {
   "$FLEET_BUILD/tools/loadtool" --profile "$FLEET_PROFILE" \
-    --platform "127.0.0.1:$FLEET_BASE" --instances "$(fleet_instances)" \
+    --platform "127.0.0.1:$FLEET_BASE:${FLEET_PIDS[0]}" --instances "$(fleet_instances)" \
     --backends "127.0.0.1:$((FLEET_BASE + 1000)),127.0.0.1:$((FLEET_BASE + 1100)),127.0.0.1:$((FLEET_BASE + 1200))" \
     --throughput $FLEET_THROUGHPUT "$@"
 }
--- a/tools/load/Faults.h
+++ b/tools/load/Faults.h
@@ -13,7 +13,7 @@
 /// Text form: NAME[:TARGET]@START[+LENGTH], times in milliseconds.
 ///   kill:INSTANCE@T          SIGKILL
 ///   term:INSTANCE@T          SIGTERM, a planned stop
-///   pause:INSTANCE@T+L       SIGSTOP, and SIGCONT after L
+///   pause:INSTANCE@T+L       SIGSTOP, and SIGCONT after L; also pause:platform
 ///   outage@T+L               the platform answers nothing
 ///   slow@T+L                 the platform answers 500 ms later
 ///   lose:N@T                 the platform loses the answers of N writes
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -28,7 +28,8 @@
 DEFINE_string(instances, "",
               "NAME=IP:CALLER_PORT:OPERATOR_PORT[:PROCESS], by commas");
 DEFINE_string(backends, "", "IP:PORT of each backend stand-in, by commas");
-DEFINE_string(platform, "127.0.0.1:9000", "IP:PORT of the platform stand-in");
+DEFINE_string(platform, "127.0.0.1:9000",
+              "IP:PORT[:PROCESS] of the platform stand-in");
 DEFINE_double(throughput, 100,
               "slots divided by slowness, summed over one data centre");
 DEFINE_string(faults, "", "faults, by semicolons; see tools/load/Faults.h");
@@ -83,6 +84,9 @@
     }
     std::vector<LoadTarget> Targets;
     FaultTargets Victims{.Platform_ = toEndpoint(FLAGS_platform)};
+    const auto Platform = split(FLAGS_platform, ':');
+    if (Platform.size() > 2)
+      Victims.Processes_["platform"] = std::stoi(Platform[2]);
     for (const std::string &Text : split(FLAGS_instances, ',')) {
       Targets.push_back(toTarget(Text));
       Victims.Processes_[Targets.back().Name_] = Targets.back().Process_;
