Record the queue as a span of its own

Cause: reading as a newcomer: JobRecord::ActiveAt_ was set and never read, and a trace did not show how long a job had waited for its first worker. Change: a span 'queue' up to the first send; a golden session with a sampled trace.

--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -149,6 +149,9 @@
   const uint32_t Index = Record.Ready_.back();
   Record.Ready_.pop_back();
   const uint64_t Send = State.NextSend_++;
+  if (Record.PossiblyRun_ == 0)
+    recordSpan(T, childOf(Record.Trace_, State.Generator_), "queue",
+               "until the first task", Record.ActiveAt_);
   ++Record.PossiblyRun_;
   Record.Tasks_[Index].Phase_ = TaskPhase::Sent;
   Record.Tasks_[Index].Send_ = Send;
--- a/coordination/test/Golden/Sessions.cpp
+++ b/coordination/test/Golden/Sessions.cpp
@@ -64,6 +64,21 @@
   checkGolden(S);
 }
 
+TEST(AJob, LeavesASpanForEachHop) {
+  Session S("traced");
+  S.prepare();
+  JobRequest Job = S.job(1, 1);
+  Job.TraceParent_ = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+  const Actions Wanted = S.happen(JobSubmitted{1, Job}, 50_ms);
+  const Actions Sent = S.happen(claimed(Wanted, S.state().Self_), 5_ms);
+  for (const Action &One : Sent) {
+    if (const auto *Send = std::get_if<SendTask>(&One))
+      CHECK_EQUAL(0, Send->TraceParent_.find(Job.TraceParent_.substr(0, 35)));
+  }
+  S.happen(succeeded(S.sendOf(Job.Id_, 0)), 50_ms);
+  checkGolden(S);
+}
+
 TEST(AJob, IsJoinedByAResubmissionWhileItRuns) {
   Session S("joined");
   S.prepare();
