Type the answer to a request that is too slow; judge refusals only when all is answered

Cause: six floods side by side (ten-fold load, baseline policies, 8 cores) gave one untyped answer: the 408 to a request that arrived too slowly lacked its outcome field, and its body said not run although the identity was not read. The load tool had also counted 4 to 7 jobs as refused although started, all in runs with broken connections: a refusal that was true, then a come-back that ran and whose answer was lost. Change: 408 is 'may have run', request_too_slow, with its field; the tool judges refusals of jobs whose every send was answered and counts the others apart. Conclusion: one fault of ours, one of the tool.

--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -65,12 +65,11 @@
           .MaxBodyBytes_ = static_cast<std::size_t>(S.max_body_bytes),
           .RequestTimeout_ = {S.request_timeout_ms},
           .IdleTimeout_ = {S.idle_timeout_ms},
-          .TimeoutBody_ = errorBody(Reason::MalformedRequest,
-                                    "the request arrived too slowly"),
-          .TooLargeBody_ =
-              errorBody(Reason::BodyTooLarge,
-                        "the body exceeds " + std::to_string(S.max_body_bytes) +
-                            " bytes")};
+          .TooSlow_ = formatTooSlow(),
+          .TooLarge_ = formatError({.Reason_ = Reason::BodyTooLarge,
+                                    .What_ = "the body exceeds " +
+                                             std::to_string(S.max_body_bytes) +
+                                             " bytes"})};
 }
 
 static PeerLinkOptions linkOptions(const SettingsT &S, Incarnation Self) {
--- a/scripts/end-to-end.sh
+++ b/scripts/end-to-end.sh
@@ -140,8 +140,9 @@
 check "a body that is too large" 413 "$STATUS"
 slow=$( (exec 3<> "/dev/tcp/127.0.0.1/$((FLEET_BASE + 101))"
   printf 'POST /v1/jobs HTTP/1.1\r\nHost: x\r\n' >&3
-  head -n 1 <&3) | tr -d '\r')
-check "headers that arrive too slowly" "HTTP/1.1 408 Request Timeout" "$slow"
+  cat <&3) | tr -d '\r')
+contains "headers that arrive too slowly" "HTTP/1.1 408 Request Timeout" "$slow"
+contains "are told so, with a typed outcome" "Marjorambend-Outcome: may_have_run" "$slow"
 post 1 00000000-0000-7000-8000-000000000001 "$(job '"run=5"')"
 check "an identity that has expired" 410 "$STATUS"
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -131,5 +131,8 @@
 fleet_stop() {
   local pid
   for pid in "${FLEET_PIDS[@]}"; do kill -CONT "$pid" 2> /dev/null; kill -KILL "$pid" 2> /dev/null; done
+  for pid in "${FLEET_PIDS[@]}"; do
+    while kill -0 "$pid" 2> /dev/null; do sleep 0.05; done
+  done
   FLEET_PIDS=()
 }
--- a/tools/load/Report.cpp
+++ b/tools/load/Report.cpp
@@ -124,7 +124,8 @@
           {"tasks_started_twice", countOf(Counts.Backends_, "doubled")},
           {"wrong_answers", Sum.Wrong_},
           {"unanswered", Sum.Unanswered_},
-          {"refused_as_not_run_but_started", Counts.Lies_}};
+          {"refused_as_not_run_but_started", Counts.Lies_},
+          {"refused_as_not_run_not_judged", Counts.NotJudged_}};
 }
 
 } // namespace
--- a/tools/load/Report.h
+++ b/tools/load/Report.h
@@ -16,7 +16,8 @@
   std::map<std::string, uint64_t> Instances_; ///< Counters of instances alive.
   std::map<std::string, uint64_t> Backends_;
   std::map<std::string, uint64_t> Platform_;
-  uint64_t Lies_ = 0; ///< Jobs refused as not run that had started.
+  uint64_t Lies_ = 0;      ///< Jobs refused as not run that had started.
+  uint64_t NotJudged_ = 0; ///< Jobs refused so, with a later send unanswered.
 };
 
 /// \brief Sums up a run as JSON.
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -165,8 +165,13 @@
   void collect() {
     Json NotRun = Json::array();
     for (const JobResult &Result : Callers_->results()) {
-      if (Result.HasOnlyNotRun_ && Result.Answers_ > 0)
+      if (!Result.HasOnlyNotRun_ || Result.Answers_ == 0)
+        continue;
+      // A send without answer may have run after a refusal that was true.
+      if (Result.Answers_ == Result.Sends_)
         NotRun.push_back(Result.Id_);
+      else
+        ++Counts_.NotJudged_;
     }
     for (const LoadTarget &Target : Callers_->targets())
       ask({.To_ = Target.Operators_, .Target_ = "/metrics"},
--- a/transport/marjorambend/src/Transport/CallerApi.cpp
+++ b/transport/marjorambend/src/Transport/CallerApi.cpp
@@ -136,18 +136,25 @@
   return internal::readBody(std::move(Job), Request.Body_);
 }
 
-std::string errorBody(Reason Why, std::string_view Message) {
-  return internal::dump(Json{{"outcome", outcomeName(Outcome::NotRun)},
-                             {"reason", reasonName(Why)},
-                             {"message", Message},
-                             {"retry_after_ms", 0}});
+static HttpReply formatRefusal(uint16_t Status, Outcome What, Reason Why,
+                               std::string_view Message) {
+  HttpReply Reply =
+      jsonReply(Status, internal::dump(Json{{"outcome", outcomeName(What)},
+                                            {"reason", reasonName(Why)},
+                                            {"message", Message},
+                                            {"retry_after_ms", 0}}));
+  Reply.Headers_.emplace_back(header::Outcome, outcomeName(What));
+  return Reply;
 }
 
 HttpReply formatError(const CallerError &Error) {
-  HttpReply Reply = jsonReply(internal::notRunStatus(Error.Reason_),
-                              errorBody(Error.Reason_, Error.What_));
-  Reply.Headers_.emplace_back(header::Outcome, outcomeName(Outcome::NotRun));
-  return Reply;
+  return formatRefusal(internal::notRunStatus(Error.Reason_), Outcome::NotRun,
+                       Error.Reason_, Error.What_);
+}
+
+HttpReply formatTooSlow() {
+  return formatRefusal(408, Outcome::MayHaveRun, Reason::RequestTooSlow,
+                       reasonHelp(Reason::RequestTooSlow));
 }
 
 HttpReply formatAnswer(const Answer &Given, bool IsIdempotent) {
--- a/transport/marjorambend/src/Transport/CallerApi.h
+++ b/transport/marjorambend/src/Transport/CallerApi.h
@@ -36,8 +36,11 @@
 /// \brief The response to `POST /v1/identities`.
 HttpReply formatIdentities(std::span<const JobId> Ids);
 
-/// \brief The JSON body of an error answer.
-std::string errorBody(Reason Why, std::string_view Message);
+/// \brief The response to a request that did not arrive in time to be read.
+///
+/// Its identity is not known, so that the job may have run through another
+/// submission.
+HttpReply formatTooSlow();
 
 } // namespace marjorambend
 
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -88,8 +88,8 @@
     uint64_t Bytes = 0;
     std::from_chars(Text.data(), Text.data() + Text.size(), Bytes);
     if (Bytes > Server.Options_.MaxBodyBytes_ * DiscardFactor) {
-      sendAndClose(Request->conn, "413 Payload Too Large",
-                   Server.Options_.TooLargeBody_);
+      sendAndClose(Request->conn, "Payload Too Large",
+                   Server.Options_.TooLarge_);
       return EVHTP_RES_ERROR;
     }
     return EVHTP_RES_OK;
@@ -135,13 +135,16 @@
   }
 
   // The connection is about to be closed; libevhtp's own buffers are passed by.
-  static void sendAndClose(evhtp_connection_t *Raw, std::string_view Status,
-                           const std::string &Body) {
-    const std::string Text =
-        "HTTP/1.1 " + std::string(Status) +
-        "\r\nContent-Type: application/json\r\nConnection: close\r\n"
-        "Content-Length: " +
-        std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  static void sendAndClose(evhtp_connection_t *Raw, std::string_view Phrase,
+                           const HttpReply &Reply) {
+    std::string Text = "HTTP/1.1 " + std::to_string(Reply.Status_) + ' ';
+    Text.append(Phrase).append("\r\nConnection: close\r\n");
+    for (const auto &[Key, Value] : Reply.Headers_)
+      Text.append(Key).append(": ").append(Value).append("\r\n");
+    Text.append("Content-Length: ")
+        .append(std::to_string(Reply.Body_.size()))
+        .append("\r\n\r\n")
+        .append(Reply.Body_);
     send(Raw->sock, Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     shutdown(Raw->sock, SHUT_WR);
   }
@@ -234,7 +237,7 @@
     State->Due_ = {INT64_MAX};
   }
   if (State != nullptr && State->IsTooLarge_) {
-    sendReply(Request, jsonReply(413, Options_.TooLargeBody_), true);
+    sendReply(Request, Options_.TooLarge_, true);
     return;
   }
   HttpRequest Whole{.Token_ = Token,
@@ -282,8 +285,7 @@
   }
   for (evhtp_connection_t *Raw : Expired) {
     if (Connections_[Raw]->IsReceiving_)
-      HttpServerHooks::sendAndClose(Raw, "408 Request Timeout",
-                                    Options_.TimeoutBody_);
+      HttpServerHooks::sendAndClose(Raw, "Request Timeout", Options_.TooSlow_);
     evhtp_connection_free(Raw);
   }
 }
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -26,8 +26,8 @@
   std::size_t MaxBodyBytes_ = 8U << 20U;
   Milliseconds RequestTimeout_{5'000}; ///< For headers and body to arrive.
   Milliseconds IdleTimeout_{60'000};
-  std::string TimeoutBody_;  ///< JSON sent with status 408.
-  std::string TooLargeBody_; ///< JSON sent with status 413.
+  HttpReply TooSlow_{.Status_ = 408};  ///< To a request that is too slow.
+  HttpReply TooLarge_{.Status_ = 413}; ///< To a body that is too large.
 };
 
 /// \brief A request that has arrived whole.
