Count control bytes apart from forwarded jobs

Cause: scripts/measure-control.sh showed 14.4 KB/s to instances at half load: forwarded jobs, which belong to the data path (7 of 8 jobs with a reserved identity arrive at another instance than their home). Change: a counter without forwarded jobs and their answers.

--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -80,6 +80,11 @@
       .Self_ = {.Run_ = Self, .Name_ = S.name, .DataCentre_ = S.data_centre}};
 }
 
+static bool isForwarding(const PeerMessage &Message) {
+  return std::holds_alternative<ForwardedJob>(Message) ||
+         std::holds_alternative<ForwardedAnswer>(Message);
+}
+
 /// \brief Carries out the actions of a step.
 struct DaemonActions {
   Daemon &D_;
@@ -97,8 +102,10 @@
   }
   void operator()(const AbortTask &A) const { D_.Backends_.abort(A.Send_); }
   void operator()(const SendPeer &A) const {
-    increment(D_.State_.Counters_, Counter::PeerBytesSent,
-              D_.Links_.send(A.To_, A.Message_));
+    const std::size_t Bytes = D_.Links_.send(A.To_, A.Message_);
+    increment(D_.State_.Counters_, Counter::PeerBytesSent, Bytes);
+    if (!isForwarding(A.Message_))
+      increment(D_.State_.Counters_, Counter::PeerControlBytesSent, Bytes);
   }
   void operator()(const ReplaceLink &A) const { D_.Links_.close(A.To_); }
   void operator()(const ReadRow &A) const { D_.Platform_.readRow(A); }
