Split admission from dispatching in the instance

Cause: reading as a newcomer: activateJob and sendTask had over 40 lines, and Dispatch.cpp over 400. Behaviour stays as it is.

--- a/coordination/marjorambend/src/Instance/Dispatch.cpp
+++ b/coordination/marjorambend/src/Instance/Dispatch.cpp
@@ -1,166 +1,39 @@
 #include "marjorambend/src/Instance/Step.h"
 #include "marjorambend/src/Routing/Router.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace marjorambend::internal {
 
-// A job may wait this multiple of its ideal time before jobs that came later
-// and are shorter stop overtaking it.
-static constexpr double OrderStretch = 5.0;
-
 // Number of jobs that are offered a free slot in turn.
 static constexpr std::size_t DispatchDepth = 4;
 
-static std::size_t payloadBytes(const JobRequest &Request) {
-  std::size_t Bytes = 0;
-  for (const std::string &Task : Request.Tasks_)
-    Bytes += Task.size();
-  return Bytes;
-}
-
-static Reason checkKind(const KindSpec *Kind, const JobRequest &Request) {
-  if (Kind == nullptr)
-    return Reason::UnknownKind;
-  if (Kind->Owner_ != Request.Team_)
-    return Reason::WrongTeam;
-  if (Request.Tasks_.size() > Kind->MaxTasks_)
-    return Reason::NeverRunnable;
-  const auto IsTooLarge = [&](const std::string &Task) {
-    return Task.size() > Kind->MaxTaskBytes_;
-  };
-  const bool HasTooLarge =
-      std::any_of(Request.Tasks_.begin(), Request.Tasks_.end(), IsTooLarge);
-  return HasTooLarge ? Reason::NeverRunnable : Reason::None;
-}
-
-static const TeamSpec *findTeam(const Instance &State, std::string_view Name) {
-  const auto Found = State.Config_.Catalogue_.Teams_.find(Name);
-  return Found == State.Config_.Catalogue_.Teams_.end() ? nullptr
-                                                        : &Found->second;
-}
-
-// A team's quota holds over all instances; each applies an equal part of it.
-static uint32_t quotaHere(const Instance &State, std::string_view Team) {
-  const TeamSpec *Spec = findTeam(State, Team);
-  if (Spec == nullptr || Spec->MaxTasks_ == 0)
-    return 0;
-  const auto Instances = static_cast<uint32_t>(State.Peers_.Peers_.size() + 1);
-  return (Spec->MaxTasks_ + Instances - 1) / Instances;
+static Milliseconds maxRunOf(const Instance &State, std::string_view Kind) {
+  const KindSpec *Spec = findKind(State.Config_.Catalogue_, Kind);
+  return Spec == nullptr ? KindSpec{}.MaxRun_ : Spec->MaxRun_;
 }
 
-static QueuedJob queuedJob(const JobRecord &Record) {
-  return {.Id_ = Record.Request_.Id_,
-          .Class_ = Record.Class_,
-          .OrderKey_ = Record.OrderKey_};
-}
-
-static void enqueue(Turn &T, const JobRecord &Record) {
-  const TeamSpec *Team = findTeam(T.State_, Record.Request_.Team_);
-  pushJob(T.State_.Queue_, Record.Request_.Team_,
-          Team == nullptr ? 1.0 : Team->Weight_, queuedJob(Record));
-}
-
-// Jobs with little work overtake those with much, up to a bound.
-static Milliseconds orderKey(const JobRecord &Record, uint32_t Slots) {
-  const double Rounds = std::ceil(
-      static_cast<double>(Record.Request_.Tasks_.size()) / std::max(1U, Slots));
-  const double IdealMs = Rounds * Record.TaskMs_;
-  return Record.ReceivedAt_ +
-         Milliseconds{static_cast<int64_t>(OrderStretch * IdealMs)};
-}
-
-// Work of the jobs that are served before a job with that class and key.
-static double workAhead(const Instance &State, uint8_t Class,
-                        Milliseconds Key) {
-  double SumMs = 0;
-  for (uint8_t Ahead = 0; Ahead <= Class; ++Ahead) {
-    for (const auto &[Name, Team] : State.Queue_.Classes_[Ahead].Teams_) {
-      for (const auto &[JobKey, Id] : Team.Jobs_) {
-        if (Ahead == Class && JobKey > Key)
-          break;
-        const JobRecord &Record = State.Jobs_.at(Id);
-        SumMs += Record.TaskMs_ * static_cast<double>(Record.Ready_.size());
-      }
-    }
-  }
-  return SumMs;
-}
-
-static void queueTasks(Turn &T, JobRecord &Record) {
-  const auto Count = static_cast<uint32_t>(Record.Request_.Tasks_.size());
-  Record.Tasks_.assign(Count, TaskRecord{});
-  Record.Results_.assign(Count, std::string{});
-  Record.Done_ = 0;
-  Record.Ready_.resize(Count);
-  for (uint32_t Index = 0; Index < Count; ++Index)
-    Record.Ready_[Index] = Count - 1 - Index;
-  enqueue(T, Record);
-}
-
-void activateJob(Turn &T, JobRecord &Record) {
+// Takes the task out of the queue and charges it to its team.
+static void unqueueTask(Turn &T, JobRecord &Record, uint32_t Index) {
   Instance &State = T.State_;
-  Record.Phase_ = JobPhase::Active;
-  Record.ActiveAt_ = T.Now_;
   const JobRequest &Request = Record.Request_;
-  if (State.Config_.Version_ == 0 || !State.KnowsDrains_) {
-    failByState(T, Record, Reason::NotReady, comeBackTime(T));
-    return;
-  }
-  const KindSpec *Kind = findKind(State.Config_.Catalogue_, Request.Kind_);
-  if (const Reason Why = checkKind(Kind, Request); Why != Reason::None) {
-    failByState(T, Record, Why, {});
-    return;
-  }
-  if (Record.Deadline_ <= T.Now_) {
-    failByState(T, Record, Reason::DeadlinePassed, comeBackTime(T));
-    return;
-  }
-  Record.Class_ = Kind->Urgency_;
-  Record.TaskMs_ =
-      expectedRunMs(State.Estimator_, Kind->Name_, Kind->DeclaredRun_);
-  const uint32_t Slots = capacityOf(State.Workers_, T.Now_).Slots_;
-  Record.OrderKey_ = orderKey(Record, Slots);
-  const JobDemand Demand{.Team_ = Request.Team_,
-                         .Class_ = Record.Class_,
-                         .Tasks_ = Request.Tasks_.size(),
-                         .Bytes_ = payloadBytes(Request),
-                         .TaskMs_ = Record.TaskMs_,
-                         .AheadMs_ =
-                             workAhead(State, Record.Class_, Record.OrderKey_),
-                         .Remaining_ = Record.Deadline_ - T.Now_,
-                         .TeamQuota_ = quotaHere(State, Request.Team_)};
-  const auto Verdict = admit(State.Admission_, State.Options_.Admission_,
-                             Demand, Slots, State.Generator_);
-  if (!Verdict) {
-    failByState(T, Record, Verdict.error().Reason_,
-                Verdict.error().RetryAfter_);
-    return;
-  }
-  noteAdmitted(State.Admission_, Demand);
-  queueTasks(T, Record);
+  Record.Ready_.pop_back();
+  noteUnqueued(State.Admission_, Record.Class_, 1, Request.Tasks_[Index].size(),
+               Record.TaskMs_);
+  const Milliseconds Work{static_cast<int64_t>(Record.TaskMs_)};
+  chargeTeam(State.Queue_, Request.Team_, Record.Class_, Work);
+  if (Record.Ready_.empty())
+    removeJob(State.Queue_, Request.Team_, queuedJob(Record));
 }
 
 // The task counts as possibly run before its first byte can leave.
-static void sendTask(Turn &T, JobRecord &Record, uint32_t WorkerIndex) {
+static SendRecord noteSent(Turn &T, JobRecord &Record, uint32_t Index,
+                           uint32_t WorkerIndex, uint64_t Send) {
   Instance &State = T.State_;
-  const JobRequest &Request = Record.Request_;
-  const uint32_t Index = Record.Ready_.back();
-  Record.Ready_.pop_back();
-  const uint64_t Send = State.NextSend_++;
-  if (Record.PossiblyRun_ == 0)
-    recordSpan(T, childOf(Record.Trace_, State.Generator_), "queue",
-               "until the first task", Record.ActiveAt_);
+  const Milliseconds MaxRun = maxRunOf(State, Record.Request_.Kind_);
   ++Record.PossiblyRun_;
   Record.Tasks_[Index].Phase_ = TaskPhase::Sent;
   Record.Tasks_[Index].Send_ = Send;
   ++State.Workers_.Workers_[WorkerIndex].Outstanding_;
-
-  const KindSpec *Kind = findKind(State.Config_.Catalogue_, Request.Kind_);
-  const Milliseconds MaxRun =
-      Kind == nullptr ? KindSpec{}.MaxRun_ : Kind->MaxRun_;
-  const SendRecord Sent{.Id_ = Request.Id_,
+  const SendRecord Sent{.Id_ = Record.Request_.Id_,
                         .Task_ = Index,
                         .Worker_ = WorkerIndex,
                         .SentAt_ = T.Now_,
@@ -168,21 +41,25 @@
                         .Trace_ = childOf(Record.Trace_, State.Generator_)};
   State.Sends_.emplace(Send, Sent);
   State.SendExpiry_.emplace(Sent.ExpiresAt_, Send);
-
-  const std::string &Payload = Request.Tasks_[Index];
-  noteUnqueued(State.Admission_, Record.Class_, 1, Payload.size(),
-               Record.TaskMs_);
-  const Milliseconds Work{static_cast<int64_t>(Record.TaskMs_)};
-  chargeTeam(State.Queue_, Request.Team_, Record.Class_, Work);
-  if (Record.Ready_.empty())
-    removeJob(State.Queue_, Request.Team_, queuedJob(Record));
   increment(State.Counters_, Counter::TasksStarted);
+  return Sent;
+}
+
+static void sendTask(Turn &T, JobRecord &Record, uint32_t WorkerIndex) {
+  Instance &State = T.State_;
+  const uint32_t Index = Record.Ready_.back();
+  const uint64_t Send = State.NextSend_++;
+  if (Record.PossiblyRun_ == 0)
+    recordSpan(T, childOf(Record.Trace_, State.Generator_), "queue",
+               "until the first task", Record.ActiveAt_);
+  const SendRecord Sent = noteSent(T, Record, Index, WorkerIndex, Send);
+  unqueueTask(T, Record, Index);
   T.Out_.emplace_back(SendTask{.Send_ = Send,
                                .Worker_ = WorkerIndex,
-                               .Id_ = Request.Id_,
+                               .Id_ = Sent.Id_,
                                .Task_ = Index,
-                               .Kind_ = Request.Kind_,
-                               .Payload_ = Payload,
+                               .Kind_ = Record.Request_.Kind_,
+                               .Payload_ = Record.Request_.Tasks_[Index],
                                .TraceParent_ = formatTraceParent(Sent.Trace_)});
 }
 
@@ -304,7 +181,7 @@
     return;
   }
   increment(State.Counters_, Counter::RetriesSpent);
-  enqueue(T, Record);
+  enqueueJob(T, Record);
 }
 
 void finishTask(Turn &T, const TaskFinished &Finished) {
--- a/coordination/marjorambend/src/Instance/Step.h
+++ b/coordination/marjorambend/src/Instance/Step.h
@@ -24,9 +24,15 @@
 void sendToHolder(Turn &T, JobRecord &Record);
 /// @}
 
-/// Tasks of jobs that are held here; see Dispatch.cpp.
+/// Admission of jobs that are held here; see Activation.cpp.
 /// @{
 void activateJob(Turn &T, JobRecord &Record);
+void enqueueJob(Turn &T, const JobRecord &Record);
+QueuedJob queuedJob(const JobRecord &Record);
+/// @}
+
+/// Tasks of jobs that are held here; see Dispatch.cpp.
+/// @{
 void dispatchTasks(Turn &T);
 void finishTask(Turn &T, const TaskFinished &Finished);
 void expireSends(Turn &T);
