--- a/scripts/end-to-end.sh
+++ b/scripts/end-to-end.sh
@@ -57,7 +57,7 @@
 # Sets STATUS and BODY.
 post() { # INSTANCE ID BODY [TIMEOUT]
   local answer
-  answer=$(curl -s -m 60 -w '\n%{http_code}' -X POST ${2:+-H "Marjorambend-Job-Id: $2"} \
+  answer=$(curl -s -m 110 -w '\n%{http_code}' -X POST ${2:+-H "Marjorambend-Job-Id: $2"} \
     -H 'Marjorambend-Team: liquida' -H "Marjorambend-Timeout-Ms: ${4:-20000}" \
     --data-binary @- "$(callers "$1")/v1/jobs" <<< "$3")
   STATUS=${answer##*$'\n'}
@@ -82,7 +82,8 @@
 check "not ready without a catalogue" 503 "$(curl -s -o /dev/null -w '%{http_code}' "$(callers 1)/readyz")"
 
 # Operators.
-"$FLEET_BUILD/tools/loadtool" --print_catalogue > "$FLEET_RUN/good.json"
+"$FLEET_BUILD/tools/loadtool" --print_catalogue |
+  sed 's/"max_run_ms": 8000/"max_run_ms": 120000/' > "$FLEET_RUN/good.json"
 echo '{"kinds":[{"name":"k","owner":"nobody","urgency":9}],"teams":[]}' > "$FLEET_RUN/bad.json"
 fleet_ctl validate "$FLEET_RUN/bad.json" 2> "$FLEET_RUN/problems"
 check "a wrong catalogue is refused" 1 $?
@@ -148,7 +149,7 @@
 
 # Cancel, drain, kill, stop.
 new_id
-post 1 "$ID" "$(job '"run=7000"')" > "$FLEET_RUN/cancelled" &
+post 1 "$ID" "$(job '"run=100000"')" 110000 > "$FLEET_RUN/cancelled" &
 cancelled=$ID
 until_true phase_has active
 curl -s -o /dev/null -X DELETE "$(callers 2)/v1/jobs/$cancelled"
