Test jobs of a thousand tasks, answers cut half way, and minutes of outage

Change: four sessions of a thousand tasks, a response that ends early, twenty worlds with outages of up to three minutes.

--- a/coordination/test/Golden/Sessions.cpp
+++ b/coordination/test/Golden/Sessions.cpp
@@ -176,6 +176,91 @@
   checkGolden(S);
 }
 
+TEST_GROUP(AJobOfAThousandTasks) {
+  static constexpr uint32_t Tasks_ = 1'000;
+  Session S_{"thousand"};
+  JobRequest Job_;
+  std::vector<AnswerPtr> Answers_;
+
+  void setup() override {
+    S_.prepare();
+    Job_ = S_.job(1, Tasks_);
+    Job_.Timeout_ = 100'000_ms;
+    const Actions Wanted = S_.happen(JobSubmitted{1, Job_}, 50_ms);
+    collect(S_.happen(claimed(Wanted, S_.state().Self_), 5_ms));
+  }
+  void collect(const Actions &Wanted) {
+    for (const Action &One : Wanted) {
+      if (const auto *Given = std::get_if<AnswerCaller>(&One))
+        Answers_.push_back(Given->Answer_);
+    }
+  }
+  void finish(uint32_t Task, TaskResult Result) {
+    collect(S_.happen(TaskFinished{.Send_ = S_.sendOf(Job_.Id_, Task),
+                                   .Result_ = Result,
+                                   .Body_ = std::to_string(Task)}));
+  }
+};
+
+TEST(AJobOfAThousandTasks, IsAnsweredWithAllResultsInOrder) {
+  for (uint32_t Task = 0; Task < Tasks_; ++Task) {
+    CHECK_TRUE(Answers_.empty());
+    finish(Task, TaskResult::Succeeded);
+  }
+  CHECK_EQUAL(1, Answers_.size());
+  CHECK_EQUAL(Tasks_, Answers_[0]->Results_.size());
+  STRCMP_EQUAL("999", Answers_[0]->Results_[999].c_str());
+}
+
+TEST(AJobOfAThousandTasks, FailsAtOnceWhenOneFails) {
+  for (uint32_t Task = 0; Task < 500; ++Task)
+    finish(Task, TaskResult::Succeeded);
+  finish(500, TaskResult::Failed);
+  CHECK_EQUAL(1, Answers_.size());
+  CHECK(Answers_[0]->Outcome_ == Outcome::MayHaveRun);
+  CHECK(Answers_[0]->Reason_ == Reason::TaskFailed);
+  CHECK_TRUE(Answers_[0]->Results_.empty());
+  CHECK_EQUAL(0, S_.state().Admission_.QueuedTasks_);
+  CHECK_TRUE(S_.state().Sends_.empty());
+}
+
+TEST(AJobOfAThousandTasks, FailsWhenOneHangs) {
+  const uint64_t Hanging = S_.sendOf(Job_.Id_, 0);
+  for (uint32_t Task = 1; Task < 900; ++Task)
+    finish(Task, TaskResult::Succeeded);
+  CHECK_TRUE(Answers_.empty());
+  S_.pass(2'000_ms);
+  CHECK_EQUAL(0, S_.state().Sends_.count(Hanging));
+  CHECK_TRUE(isIdle(S_.state()));
+  collect(S_.happen(JobSubmitted{2, Job_}));
+  CHECK(Answers_.back()->Outcome_ == Outcome::MayHaveRun);
+  CHECK(Answers_.back()->Reason_ == Reason::TaskLost);
+}
+
+TEST(AJobOfAThousandTasks, IsCompletedByTheOthersWhenAWorkerIsGone) {
+  // Worker 1 refuses every connection from the start.
+  for (uint32_t Task = 0; Task < Tasks_; ++Task) {
+    for (int Try = 0; Try < 20; ++Try) {
+      const uint64_t Send = S_.sendOf(Job_.Id_, Task);
+      const auto Sent = S_.state().Sends_.find(Send);
+      if (Sent == S_.state().Sends_.end())
+        break;
+      const bool IsGone = Sent->second.Worker_ == 1;
+      finish(Task, IsGone ? TaskResult::NotConnected : TaskResult::Succeeded);
+      if (IsGone)
+        S_.pass(100_ms);
+    }
+  }
+  S_.pass(1'100_ms);
+  for (uint32_t Task = 0; Task < Tasks_ && Answers_.empty(); ++Task) {
+    if (S_.state().Sends_.count(S_.sendOf(Job_.Id_, Task)) > 0)
+      finish(Task, TaskResult::Succeeded);
+  }
+  CHECK_EQUAL(1, Answers_.size());
+  CHECK(Answers_[0]->Outcome_ == Outcome::Complete);
+  CHECK_EQUAL(Tasks_, Answers_[0]->Results_.size());
+}
+
 TEST_GROUP(WhenTheTableServiceIsOut){};
 
 TEST(WhenTheTableServiceIsOut, AnIdentityOfTheCallersOwnIsNotStarted) {
--- a/coordination/test/Simulation/AtMostOnce.cpp
+++ b/coordination/test/Simulation/AtMostOnce.cpp
@@ -78,6 +78,20 @@
   }));
 }
 
+TEST(InAnyOrderOfEventsAndFaults, EvenWhenTheTableServiceIsOutForMinutes) {
+  for (uint64_t World_ = 0; World_ < 20; ++World_) {
+    const WorldReport Report = World({.Seed_ = baseSeed() + World_,
+                                      .Jobs_ = 60,
+                                      .Arrivals_ = Milliseconds{120'000},
+                                      .Length_ = Milliseconds{130'000},
+                                      .Outages_ = 2,
+                                      .LongestOutage_ = Milliseconds{180'000}})
+                                   .run();
+    STRCMP_EQUAL("", firstViolation(Report).c_str());
+    CHECK(Report.Starts_ > 0);
+  }
+}
+
 TEST_GROUP(APlantedMistakeIsCaught){};
 
 TEST(APlantedMistakeIsCaught, StartingWithoutAClaim) {
--- a/coordination/test/Simulation/World.h
+++ b/coordination/test/Simulation/World.h
@@ -44,6 +44,7 @@
   uint32_t Cuts_ = 2;
   uint32_t StoreCuts_ = 1;
   uint32_t Outages_ = 1;
+  Milliseconds LongestOutage_{3'000};
   uint32_t Drains_ = 0;
   uint32_t Writes_ = 0; ///< Catalogues that operators submit.
   uint32_t Stops_ = 0;  ///< Planned stops.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,4 +6,4 @@
 . scripts/fleet.sh
 trap fleet_stop EXIT
 fleet_start || exit 1
-fleet_load --result "$FLEET_RUN/result.json" "$@"
+fleet_load --result "$FLEET_RUN/result.json" --length_ms 22000 "$@"
--- a/scripts/recovery.sh
+++ b/scripts/recovery.sh
@@ -19,7 +19,7 @@
   trap fleet_stop EXIT
   local fault=${2/BACKEND/$((FLEET_BASE + 1000))}
   fleet_start > "$FLEET_RUN.log" 2>&1 || return 1
-  fleet_load --seed "$seed" --length_ms 16000 --jobs_per_s 20 --faults "$fault" \
+  fleet_load --seed "$seed" --length_ms 16000 --jobs_per_s 60 --max_tasks 4 --faults "$fault" \
     --result "results/recovery-$3.json" > "results/recovery-$3.txt"
 }
 
--- a/transport/test/HttpTests.cpp
+++ b/transport/test/HttpTests.cpp
@@ -173,6 +173,28 @@
   CHECK(Answered_->error() == HttpFailure::Lost);
 }
 
+TEST(AnHttpClient, TakesAnAnswerThatIsCutHalfWayForLost) {
+  const int Listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
+  socklen_t Length = sizeof(Address);
+  bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length);
+  listen(Listener, 1);
+  getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+  send({.To_ = {"127.0.0.1", ntohs(Address.sin_port)}});
+  const Timer Cut(Loop_, Milliseconds{20}, Timer::Mode::Once, [&] {
+    const int Socket = accept(Listener, nullptr, nullptr);
+    const std::string Half =
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
+    ::send(Socket, Half.data(), Half.size(), MSG_NOSIGNAL);
+    close(Socket);
+  });
+  Loop_.run();
+  close(Listener);
+  CHECK(Answered_->error() == HttpFailure::Lost);
+}
+
 TEST(AnHttpClient, NeverTakesAnAnswerForAnotherCall) {
   IsSilent_ = true;
   HttpCall Call = callOf("first");
