Evaluate the conditions of three properties before they are asserted

Cause: the sanitizer build stopped in AFrame/WithAnyByteChangedIsNeverAccepted: RapidCheck's assertion takes its expression apart, so that || does not stop before a value that is not there is read. Ruled out: the frame code, which returned an error as it should. Change: the condition is a bool of its own; what is required stays the same. Result: all four test programs pass with AddressSanitizer and UBSan (45 s).

--- a/coordination/test/Configuration/CatalogueTests.cpp
+++ b/coordination/test/Configuration/CatalogueTests.cpp
@@ -45,7 +45,8 @@
     Text[*rc::gen::inRange<std::size_t>(0, Text.size())] =
         *rc::gen::arbitrary<char>();
     const auto All = parseCatalogue(Text);
-    RC_ASSERT(All.has_value() || !All.error().Problems_.empty());
+    const bool IsExplained = All.has_value() || !All.error().Problems_.empty();
+    RC_ASSERT(IsExplained);
   }));
 }
 
@@ -71,7 +72,8 @@
       const uint64_t Before = State.Version_;
       adoptCatalogue(State, Version, Version % 3 == 0 ? "wrong" : Good);
       RC_ASSERT(State.Version_ >= Before);
-      RC_ASSERT(State.Version_ % 3 != 0 || State.Version_ == 0);
+      const bool IsSound = State.Version_ % 3 != 0 || State.Version_ == 0;
+      RC_ASSERT(IsSound);
     }
   }));
 }
--- a/transport/test/FrameTests.cpp
+++ b/transport/test/FrameTests.cpp
@@ -64,6 +64,7 @@
     const auto Flip = *rc::gen::inRange<int>(1, 256);
     Sent[Place] ^= static_cast<uint8_t>(Flip);
     const auto Cut = cutFrame(Receiver, Sent, MaxBytes);
-    RC_ASSERT(!Cut || !*Cut);
+    const bool IsAccepted = Cut.has_value() && Cut->has_value();
+    RC_ASSERT(!IsAccepted);
   }));
 }
