--- a/tools/load/Callers.cpp
+++ b/tools/load/Callers.cpp
@@ -11,6 +11,7 @@
 static constexpr Milliseconds ReadinessInterval{250};
 static constexpr Milliseconds IdentityAge{2'000};
 static constexpr std::size_t IdentityStock = 40;
+static constexpr std::size_t IdentityBatch = 5; // From one instance.
 static constexpr int64_t ResubmitWithinMs = 300;
 static constexpr int64_t ReconnectWithinMs = 100;
 static constexpr int64_t CancelWithinMs = 200;
@@ -81,7 +82,7 @@
   Client_.send(
       {.To_ = From.Callers_,
        .Method_ = "POST",
-       .Target_ = "/v1/identities?count=" + std::to_string(IdentityStock),
+       .Target_ = "/v1/identities?count=" + std::to_string(IdentityBatch),
        .Timeout_ = Milliseconds{1'000}},
       [this, Now](const HttpResult &Result) {
         if (!Result || Identities_.size() > IdentityStock)
