--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -0,0 +1,314 @@
+/// \file
+/// \brief Which workers this instance holds, and how it watches them.
+
+#include "marjorambend/src/Fleet/HoldStep.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace marjorambend::internal {
+
+// Fencing tokens are wall-clock milliseconds with random low bits, so that a
+// later claim has the higher token without asking anyone. A claim that is
+// fenced off all the same steps up by a second, then two, then four...
+static constexpr uint64_t FenceLowBits = 1024;
+static constexpr uint64_t FenceStep = 1000 * FenceLowBits;
+static constexpr uint32_t MaxFenceDoublings = 16;
+
+// FNV-1a; the same in every process, whatever its library.
+static uint64_t hashOf(std::string_view A, std::string_view B) {
+  uint64_t Hash = 14695981039346656037ULL;
+  const auto Add = [&Hash](std::string_view Text) {
+    for (const char Byte : Text)
+      Hash = (Hash ^ static_cast<uint8_t>(Byte)) * 1099511628211ULL;
+  };
+  Add(A);
+  Add("/");
+  Add(B);
+  Hash ^= Hash >> 32U;
+  return Hash * 0x9E3779B97F4A7C15ULL;
+}
+
+static uint64_t freshFence(FleetInstance &State) {
+  return static_cast<uint64_t>(State.WallClock_.Count_) * FenceLowBits +
+         uniformBelow(State.Generator_, FenceLowBits);
+}
+
+// Rendezvous hashing among the instances of the worker's data centre, or among
+// all if none is there.
+static bool isRightfulHolder(const FleetInstance &State,
+                             const WorkerReport &Worker) {
+  if (State.IsStopping_)
+    return false;
+  const InstanceInfo *Best = &State.Self_;
+  const auto IsNear = [&Worker](const InstanceInfo &Info) {
+    return Info.DataCentre_ == Worker.DataCentre_;
+  };
+  for (const auto &[Run, Other] : State.Members_) {
+    if (!Other.Status_.IsReady_ || Other.Status_.IsStopping_)
+      continue;
+    if (IsNear(Other.Info_) != IsNear(*Best)) {
+      if (IsNear(Other.Info_))
+        Best = &Other.Info_;
+      continue;
+    }
+    if (hashOf(Other.Info_.Name_, Worker.Id_) > hashOf(Best->Name_, Worker.Id_))
+      Best = &Other.Info_;
+  }
+  return Best == &State.Self_;
+}
+
+static void look(FleetTurn &T, WorkerHold &Hold) {
+  const HolderOptions &Options = T.State_.Options_.Holder_;
+  const bool IsRenewing = Hold.Phase_ == HoldPhase::Open &&
+                          Hold.ClockOffset_ && !Hold.Runs_.empty();
+  Milliseconds Wait{0};
+  if (Hold.Phase_ == HoldPhase::Open)
+    Wait = Hold.Runs_.empty() ? Options.IdleWait_ : Options.BusyWait_;
+  if (IsRenewing)
+    Hold.LeaseSentAt_ = T.Now_;
+  Hold.IsLooking_ = true;
+  increment(T.State_.Counters_, Counter::WorkerLooks);
+  T.Out_.push_back(
+      LookAtWorker{.Worker_ = targetOf(Hold),
+                   .Look_ = Hold.NextLook_++,
+                   .AckedThrough_ = Hold.AckedThrough_,
+                   .LeaseEnd_ = IsRenewing ? leaseEnd(T, Hold) : Milliseconds{0},
+                   .Wait_ = Wait});
+}
+
+void lookSoon(FleetTurn &T, WorkerHold &Hold) {
+  if (!Hold.IsLooking_)
+    look(T, Hold);
+}
+
+static void claim(FleetTurn &T, const WorkerReport &Report) {
+  WorkerHold &Hold = T.State_.Holds_[Report.Id_];
+  Hold = WorkerHold{.Report_ = Report, .Fence_ = freshFence(T.State_)};
+  log(T, "worker_claimed", 0,
+      {{"worker", Report.Id_}, {"fence", std::to_string(Hold.Fence_)}});
+  look(T, Hold);
+}
+
+static void dropHold(FleetTurn &T, const std::string &Id,
+                     std::string_view Why) {
+  log(T, "worker_dropped", 0, {{"worker", Id}, {"why", std::string(Why)}});
+  const WorkersDropped Message{{Id}};
+  tellAll(T, Message);
+  tell(T, T.State_.Self_.Run_, Message);
+  T.State_.Holds_.erase(Id);
+}
+
+void loseToFence(FleetTurn &T, WorkerHold &Hold) {
+  const HolderOptions &Options = T.State_.Options_.Holder_;
+  if (Hold.Phase_ == HoldPhase::Claiming) {
+    const uint32_t Doublings = std::min(Hold.FenceTries_++, MaxFenceDoublings);
+    Hold.Fence_ = std::max(Hold.Fence_, freshFence(T.State_)) +
+                  (FenceStep << Doublings);
+    Hold.NextLookAt_ = T.Now_;
+    return;
+  }
+  if (Hold.Phase_ == HoldPhase::Fenced)
+    return;
+  Hold.Phase_ = HoldPhase::Fenced;
+  T.State_.FencedUntil_[Hold.Report_.Id_] = T.Now_ + Options.FencedPause_;
+  increment(T.State_.Counters_, Counter::HoldsLost);
+  log(T, "worker_fenced", 0,
+      {{"worker", Hold.Report_.Id_},
+       {"runs", std::to_string(Hold.Runs_.size())}});
+  tellIfChanged(T, Hold);
+}
+
+void endLife(FleetTurn &T, WorkerHold &Hold) {
+  log(T, "worker_life_over", 0,
+      {{"worker", Hold.Report_.Id_},
+       {"life", std::to_string(Hold.Report_.Life_)},
+       {"runs", std::to_string(Hold.Runs_.size())}});
+  finishAllRuns(T, Hold, RunEnd::Lost);
+  Hold.Phase_ = HoldPhase::Claiming;
+  Hold.ClockOffset_.reset();
+  Hold.AckedThrough_ = 0;
+  Hold.Slowness_ = 1.0;
+  Hold.BadInRow_ = 0;
+  Hold.NextLookAt_ = T.Now_ + T.State_.Options_.Holder_.RetryPause_;
+  tellIfChanged(T, Hold);
+}
+
+static void noteFailedLook(FleetTurn &T, WorkerHold &Hold) {
+  const HolderOptions &Options = T.State_.Options_.Holder_;
+  ++Hold.FailedLooks_;
+  // The first failure may be the connection's fault alone.
+  Hold.NextLookAt_ = Hold.FailedLooks_ == 1 ? T.Now_ : T.Now_ + Options.RetryPause_;
+  if (Hold.Phase_ != HoldPhase::Open ||
+      Hold.FailedLooks_ < Options.SuspectAfter_)
+    return;
+  Hold.Phase_ = HoldPhase::Suspect;
+  log(T, "worker_silent", 0,
+      {{"worker", Hold.Report_.Id_},
+       {"looks", std::to_string(Hold.FailedLooks_)},
+       {"runs", std::to_string(Hold.Runs_.size())}});
+  tellIfChanged(T, Hold);
+}
+
+void takeLists(FleetTurn &T, const WorkerListed &Listed) {
+  const auto Found = T.State_.Holds_.find(Listed.Worker_);
+  if (Found == T.State_.Holds_.end())
+    return;
+  WorkerHold &Hold = Found->second;
+  if (Listed.Look_ + 1 != Hold.NextLook_)
+    return;
+  Hold.IsLooking_ = false;
+  Hold.NextLookAt_ = T.Now_;
+  switch (Listed.Result_) {
+  case OrderResult::Accepted:
+    break;
+  case OrderResult::Fenced:
+    loseToFence(T, Hold);
+    return;
+  case OrderResult::OtherLife:
+    endLife(T, Hold);
+    return;
+  default:
+    noteFailedLook(T, Hold);
+    return;
+  }
+  if (Hold.Phase_ == HoldPhase::Fenced)
+    return;
+  Hold.FailedLooks_ = 0;
+  if (Listed.Life_ != 0 && Listed.Life_ != Hold.Report_.Life_) {
+    if (Hold.Report_.Life_ != 0)
+      endLife(T, Hold);
+    Hold.Report_.Life_ = Listed.Life_;
+  }
+  if (Hold.Phase_ == HoldPhase::Suspect)
+    Hold.Phase_ = HoldPhase::Open;
+  applyLists(T, Hold, Listed);
+  tellIfChanged(T, Hold);
+  // A list with strangers, or one of nothing new, must not make a busy loop.
+  Hold.NextLookAt_ = T.Now_;
+  if (Hold.Phase_ == HoldPhase::Claiming)
+    Hold.NextLookAt_ = T.Now_ + Milliseconds{20};
+  else
+    look(T, Hold);
+}
+
+static void repeatStops(FleetTurn &T, WorkerHold &Hold) {
+  for (auto &[Id, Run] : Hold.Runs_) {
+    if (Run.Phase_ == RunPhase::Stopping && !Run.IsStopSent_ &&
+        Run.NextStop_ <= T.Now_)
+      sendStop(T, Hold, Id, Run);
+  }
+}
+
+// Returns why the worker is to be dropped, if it is.
+static std::string_view tickHold(FleetTurn &T, WorkerHold &Hold) {
+  const bool IsLeaseOver = T.Now_ >= leaseSurelyOver(T, Hold);
+  if (Hold.Phase_ == HoldPhase::Fenced) {
+    if (!IsLeaseOver)
+      return {};
+    finishAllRuns(T, Hold, RunEnd::Lost);
+    return "another instance holds it";
+  }
+  if (Hold.Phase_ == HoldPhase::Suspect && IsLeaseOver) {
+    finishAllRuns(T, Hold, RunEnd::Lost);
+    Hold.Phase_ = HoldPhase::Claiming;
+  }
+  repeatStops(T, Hold);
+  tellIfChanged(T, Hold);
+  if (Hold.Runs_.empty() && Hold.IsClosing_)
+    return "handed over";
+  if (Hold.Runs_.empty() && !Hold.IsListed_)
+    return "the platform lists it no longer";
+  if (!Hold.IsLooking_ && Hold.NextLookAt_ <= T.Now_)
+    look(T, Hold);
+  return {};
+}
+
+void tickHolds(FleetTurn &T) {
+  std::vector<std::pair<std::string, std::string_view>> Dropped;
+  for (auto &[Id, Hold] : T.State_.Holds_) {
+    const std::string_view Why = tickHold(T, Hold);
+    if (!Why.empty())
+      Dropped.emplace_back(Id, Why);
+  }
+  for (const auto &[Id, Why] : Dropped)
+    dropHold(T, Id, Why);
+  chooseHolds(T);
+}
+
+void takeReports(FleetTurn &T, const WorkersRead &Read) {
+  FleetInstance &State = T.State_;
+  std::map<std::string, WorkerReport> Now;
+  for (const WorkerReport &Report : Read.Workers_)
+    Now[Report.Id_] = Report;
+  if (State.HasList_ && !State.IsListFresh_)
+    State.MissingAreKeptUntil_ = T.Now_ + State.Options_.ListSettle_;
+  State.HasList_ = true;
+  State.IsListFresh_ = true;
+  // Entries that lapsed while the list could not be reached come back soon.
+  if (T.Now_ < State.MissingAreKeptUntil_)
+    Now.merge(State.Listed_);
+  State.Listed_ = std::move(Now);
+  for (auto &[Id, Hold] : State.Holds_) {
+    const auto Found = State.Listed_.find(Id);
+    Hold.IsListed_ = Found != State.Listed_.end();
+    if (!Hold.IsListed_ || Found->second == Hold.Report_) {
+      tellIfChanged(T, Hold);
+      continue;
+    }
+    const bool WasDraining = Hold.Report_.IsDraining_;
+    const int64_t Life = Hold.Report_.Life_;
+    if (Life != 0 && Found->second.Life_ > Life)
+      endLife(T, Hold);
+    Hold.Report_ = Found->second;
+    Hold.Report_.Life_ = std::max(Life, Found->second.Life_);
+    if (Hold.Report_.IsDraining_ != WasDraining)
+      log(T, "worker_draining", 0,
+          {{"worker", Id},
+           {"is_draining", Hold.Report_.IsDraining_ ? "true" : "false"}});
+    tellHold(T, Hold);
+  }
+  chooseHolds(T);
+}
+
+// Workers stay where they are unless their holder is stopping or far away.
+void chooseHolds(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  if (State.IsStopping_) {
+    for (auto &[Id, Hold] : State.Holds_) {
+      Hold.IsClosing_ = true;
+      tellIfChanged(T, Hold);
+    }
+    return;
+  }
+  const bool IsSettled =
+      State.HasTicked_ &&
+      T.Now_ - State.StartedAt_ >= State.Options_.Holder_.Settle_;
+  if (!IsSettled)
+    return;
+  for (auto &[Id, Hold] : State.Holds_) {
+    const bool IsFar = Hold.Report_.DataCentre_ != State.Self_.DataCentre_;
+    Hold.IsClosing_ = IsFar && !isRightfulHolder(State, Hold.Report_);
+  }
+  for (const auto &[Id, Report] : State.Listed_) {
+    if (State.Holds_.contains(Id) || State.HeldByOthers_.contains(Id))
+      continue;
+    const auto Fenced = State.FencedUntil_.find(Id);
+    if (Fenced != State.FencedUntil_.end() && Fenced->second > T.Now_)
+      continue;
+    if (isRightfulHolder(State, Report))
+      claim(T, Report);
+  }
+}
+
+void tellAllHolds(FleetTurn &T, Incarnation To) {
+  WorkersHeld Message;
+  for (const auto &[Id, Hold] : T.State_.Holds_)
+    Message.Workers_.push_back({.Report_ = Hold.Report_,
+                                .IsOpen_ = isOpen(Hold, T.Now_),
+                                .Slowness_ = Hold.Slowness_});
+  if (!Message.Workers_.empty())
+    tell(T, To, std::move(Message));
+}
+
+} // namespace marjorambend::internal
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -0,0 +1,305 @@
+#include "marjorambend/src/Fleet/Fleet.h"
+
+#include "marjorambend/src/Fleet/FleetStep.h"
+
+#include <utility>
+
+namespace marjorambend {
+
+const char *nameOf(RunEnd End) {
+  switch (End) {
+  case RunEnd::Done:
+    return "done";
+  case RunEnd::Failed:
+    return "failed";
+  case RunEnd::Stopped:
+    return "stopped";
+  case RunEnd::Lost:
+    return "lost";
+  case RunEnd::NotStarted:
+    return "not_started";
+  case RunEnd::Superseded:
+    return "superseded";
+  }
+  return "unknown";
+}
+
+const char *nameOf(OrderResult Result) {
+  switch (Result) {
+  case OrderResult::Accepted:
+    return "accepted";
+  case OrderResult::Fenced:
+    return "fenced";
+  case OrderResult::Superseded:
+    return "superseded";
+  case OrderResult::Late:
+    return "late";
+  case OrderResult::NoRoom:
+    return "no_room";
+  case OrderResult::Invalid:
+    return "invalid";
+  case OrderResult::Unhealthy:
+    return "unhealthy";
+  case OrderResult::OtherLife:
+    return "other_life";
+  case OrderResult::NotDelivered:
+    return "not_delivered";
+  case OrderResult::Unknown:
+    return "no_answer";
+  }
+  return "unknown";
+}
+
+const char *nameOf(JobOutcome Outcome) {
+  switch (Outcome) {
+  case JobOutcome::Completed:
+    return "completed";
+  case JobOutcome::Failed:
+    return "failed";
+  case JobOutcome::Cancelled:
+    return "cancelled";
+  case JobOutcome::NotRun:
+    return "not_run";
+  case JobOutcome::MayHaveRun:
+    return "may_have_run";
+  case JobOutcome::NoSuchRoute:
+    return "no_such_route";
+  case JobOutcome::NotSupported:
+    return "not_supported";
+  }
+  return "unknown";
+}
+
+namespace internal {
+
+void tell(FleetTurn &T, Incarnation To, FleetMessage Message) {
+  if (To == T.State_.Self_.Run_)
+    T.ToSelf_.push_back(std::move(Message));
+  else
+    T.Out_.push_back(TellInstance{To, std::move(Message)});
+}
+
+void tellAll(FleetTurn &T, const FleetMessage &Message) {
+  for (const auto &[Run, Other] : T.State_.Members_)
+    T.Out_.push_back(TellInstance{Run, Message});
+}
+
+void log(FleetTurn &T, std::string_view What, uint64_t Job,
+         std::vector<LogField> Fields, bool IsFinal) {
+  T.Out_.push_back(LogDecision{.What_ = What,
+                               .Job_ = Job,
+                               .IsFinal_ = IsFinal,
+                               .Fields_ = std::move(Fields)});
+}
+
+/// \brief Hands a message of an instance, possibly this one, to its part.
+struct MessageHandler {
+  FleetTurn &T_;
+  Incarnation From_;
+
+  void operator()(const InstanceStatus &Status) const {
+    const auto Found = T_.State_.Members_.find(From_);
+    if (Found != T_.State_.Members_.end())
+      Found->second.Status_ = Status;
+  }
+  void operator()(const WorkersHeld &M) const { viewWorkers(T_, From_, M); }
+  void operator()(const WorkersDropped &M) const { dropWorkers(T_, From_, M); }
+  void operator()(PlaceRequest &M) const {
+    requestPlaces(T_, From_, std::move(M));
+  }
+  void operator()(const PlaceWithdraw &M) const {
+    withdrawPlaces(T_, From_, M);
+  }
+  void operator()(const PlaceRelease &M) const { releasePlace(T_, From_, M); }
+  void operator()(const PlaceAdopt &M) const { adoptPlace(T_, From_, M); }
+  void operator()(const Placed &M) const { takePlacements(T_, From_, M); }
+  void operator()(const PlaceRefused &M) const { takeRefusal(T_, M); }
+  void operator()(const StartOrder &M) const { startRun(T_, From_, M); }
+  void operator()(const StopOrder &M) const { stopRun(T_, M); }
+  void operator()(const RunEnded &M) const { takeRunEnd(T_, M); }
+};
+
+static void beat(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  if (T.Now_ < State.NextBeat_)
+    return;
+  State.NextBeat_ = T.Now_ + State.Options_.Heartbeat_;
+  tellAll(T, InstanceStatus{.IsReady_ = isReady(State),
+                            .IsStopping_ = State.IsStopping_});
+}
+
+// Others gave this instance up while it stood still, and may have taken its
+// workers and jobs.
+static void notePause(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  const Milliseconds Gap = T.Now_ - State.LastTick_;
+  if (!State.HasTicked_ || Gap <= State.Options_.PauseBound_)
+    return;
+  increment(State.Counters_, Counter::PausesDetected);
+  log(T, "pause", 0, {{"gap_ms", text(Gap)}});
+  giveUpAllJobs(T, "pause");
+}
+
+static void tick(FleetTurn &T, const FleetTick &Given) {
+  FleetInstance &State = T.State_;
+  notePause(T);
+  if (!State.HasTicked_)
+    State.StartedAt_ = T.Now_;
+  State.HasTicked_ = true;
+  State.LastTick_ = T.Now_;
+  State.WallClock_ = Given.WallClock_;
+  beat(T);
+  choosePlacer(T);
+  tickHolds(T);
+  expireJobs(T);
+  State.Placing_.IsDirty_ = true;
+}
+
+static void joinInstance(FleetTurn &T, const InstanceUp &Up) {
+  FleetInstance &State = T.State_;
+  State.Members_[Up.Info_.Run_] = {.Info_ = Up.Info_, .HeardAt_ = T.Now_};
+  log(T, "instance_up", 0,
+      {{"instance", Up.Info_.Name_}, {"data_centre", Up.Info_.DataCentre_}});
+  tell(T, Up.Info_.Run_,
+       InstanceStatus{.IsReady_ = isReady(State),
+                      .IsStopping_ = State.IsStopping_});
+  tellAllHolds(T, Up.Info_.Run_);
+}
+
+static void loseInstance(FleetTurn &T, Incarnation Run) {
+  FleetInstance &State = T.State_;
+  const auto Found = State.Members_.find(Run);
+  if (Found == State.Members_.end())
+    return;
+  log(T, "instance_down", 0,
+      {{"instance", Found->second.Info_.Name_},
+       {"silent_ms", text(T.Now_ - Found->second.HeardAt_)}});
+  State.Members_.erase(Found);
+  forgetInstance(T, Run);
+  stopRunsOf(T, Run);
+  loseHolder(T, Run);
+  choosePlacer(T);
+  chooseHolds(T);
+}
+
+/// \brief Hands an event to its part.
+struct FleetEventHandler {
+  FleetTurn &T_;
+
+  void operator()(const FleetTick &E) const { tick(T_, E); }
+  void operator()(ConfigRead &E) const {
+    FleetConfig &Known = T_.State_.Config_;
+    if (E.Config_.Version_ <= Known.Version_)
+      return;
+    log(T_, "config", 0,
+        {{"version", std::to_string(E.Config_.Version_)},
+         {"before", std::to_string(Known.Version_)},
+         {"routes", std::to_string(E.Config_.Routes_.size())}});
+    Known = std::move(E.Config_);
+  }
+  void operator()(const WorkersRead &E) const { takeReports(T_, E); }
+  void operator()(const WorkersUnknown &) const {
+    T_.State_.IsListFresh_ = false;
+  }
+  void operator()(JobSubmission &E) const { submitJob(T_, std::move(E)); }
+  void operator()(const JobAbandoned &E) const { abandonJob(T_, E.Token_); }
+  void operator()(const JobCancel &E) const { cancelJob(T_, E.Id_); }
+  void operator()(const InstanceUp &E) const { joinInstance(T_, E); }
+  void operator()(const InstanceDown &E) const { loseInstance(T_, E.Run_); }
+  void operator()(InstanceSaid &E) const {
+    const auto From = T_.State_.Members_.find(E.From_);
+    if (From == T_.State_.Members_.end())
+      return;
+    From->second.HeardAt_ = T_.Now_;
+    std::visit(MessageHandler{T_, E.From_}, E.Message_);
+  }
+  void operator()(const StartAnswered &E) const { takeStartAnswer(T_, E); }
+  void operator()(const StopAnswered &E) const { takeStopAnswer(T_, E); }
+  void operator()(const WorkerListed &E) const { takeLists(T_, E); }
+  void operator()(const FleetStop &) const {
+    T_.State_.IsStopping_ = true;
+    T_.State_.NextBeat_ = T_.Now_;
+    log(T_, "stopping", 0,
+        {{"jobs", std::to_string(T_.State_.Jobs_.size())},
+         {"workers", std::to_string(T_.State_.Holds_.size())}});
+    beat(T_);
+    choosePlacer(T_);
+    chooseHolds(T_);
+  }
+};
+
+static void handleOwnMessages(FleetTurn &T) {
+  while (!T.ToSelf_.empty()) {
+    FleetMessage Message = std::move(T.ToSelf_.front());
+    T.ToSelf_.pop_front();
+    std::visit(MessageHandler{T, T.State_.Self_.Run_}, Message);
+  }
+}
+
+} // namespace internal
+
+FleetInstance makeFleetInstance(FleetOptions Options, uint64_t Seed) {
+  FleetInstance State;
+  State.Options_ = std::move(Options);
+  State.Generator_ = Random(Seed);
+  State.Self_ = {.Run_ = makeIncarnation(State.Generator_),
+                 .Name_ = State.Options_.Name_,
+                 .DataCentre_ = State.Options_.DataCentre_,
+                 .CpuShare_ = State.Options_.CpuShare_};
+  State.Placer_ = State.Self_.Run_;
+  return State;
+}
+
+FleetActions step(FleetInstance &State, FleetEvent Happened, Milliseconds Now) {
+  FleetActions Out;
+  internal::FleetTurn T{State, Now, Out, {}};
+  std::visit(internal::FleetEventHandler{T}, Happened);
+  internal::handleOwnMessages(T);
+  while (State.Placing_.IsDirty_) {
+    State.Placing_.IsDirty_ = false;
+    internal::placeTasks(T);
+    internal::handleOwnMessages(T);
+  }
+  return Out;
+}
+
+bool isReady(const FleetInstance &State) {
+  return State.Config_.Version_ != 0 && State.HasList_ && !State.IsStopping_;
+}
+
+bool isIdle(const FleetInstance &State) {
+  return State.Jobs_.empty() && State.Holds_.empty();
+}
+
+JobState stateOf(const FleetInstance &State, uint64_t Id) {
+  const auto Found = State.JobById_.find(Id);
+  if (Found == State.JobById_.end())
+    return JobState::Unknown;
+  const OriginJob &Job = State.Jobs_.at(Found->second);
+  if (Job.IsAnswered_)
+    return JobState::Unknown;
+  return Job.HasStarted_ ? JobState::Active : JobState::Queued;
+}
+
+std::size_t pendingJobs(const FleetInstance &State, std::string_view Name) {
+  std::size_t Count = 0;
+  for (const auto &[Number, Job] : State.Jobs_) {
+    if (Job.Route_.Name_ == Name && !Job.HasStarted_ && !Job.IsAnswered_)
+      ++Count;
+  }
+  return Count;
+}
+
+const Route *findRoute(const FleetConfig &Config, std::string_view Host,
+                       std::string_view Path) {
+  const Route *Best = nullptr;
+  for (const Route &One : Config.Routes_) {
+    if (One.Host_ != Host || !Path.starts_with(One.Prefix_))
+      continue;
+    if (Best == nullptr || One.Prefix_.size() > Best->Prefix_.size())
+      Best = &One;
+  }
+  return Best;
+}
+
+} // namespace marjorambend
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -0,0 +1,96 @@
+#ifndef MARJORAMBEND_FLEET_FLEET_H
+#define MARJORAMBEND_FLEET_FLEET_H
+
+#include "marjorambend/src/Fleet/FleetActions.h"
+#include "marjorambend/src/Fleet/FleetEvents.h"
+#include "marjorambend/src/Fleet/FleetOptions.h"
+#include "marjorambend/src/Fleet/OriginJob.h"
+#include "marjorambend/src/Fleet/PlacerState.h"
+#include "marjorambend/src/Fleet/WorkerHold.h"
+#include "marjorambend/src/Support/Counters.h"
+#include "marjorambend/src/Support/Random.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace marjorambend {
+
+/// \brief Another instance with an open session.
+struct FleetMember {
+  InstanceInfo Info_;
+  InstanceStatus Status_;
+  Milliseconds HeardAt_;
+};
+
+/// \brief The whole state of one instance's decisions on a fleet of workers
+/// that run tasks under leases.
+///
+/// An instance is the origin of the jobs that callers bring to it, the holder
+/// of some workers, and at times the one that places tasks for all.
+struct FleetInstance {
+  FleetOptions Options_;
+  InstanceInfo Self_;
+  Random Generator_;
+  Counters Counters_;
+  bool HasTicked_ = false;
+  Milliseconds StartedAt_;
+  Milliseconds LastTick_;
+  Milliseconds WallClock_;
+  Milliseconds NextBeat_;
+  bool IsStopping_ = false;
+
+  FleetConfig Config_; ///< Version 0: none yet.
+  std::map<std::string, WorkerReport> Listed_;
+  bool HasList_ = false;
+  bool IsListFresh_ = false; ///< The last read of the list has succeeded.
+  Milliseconds MissingAreKeptUntil_; ///< Workers that the list lacks stay.
+
+  std::map<Incarnation, FleetMember> Members_;
+  /// Workers that other instances hold.
+  std::map<std::string, Incarnation> HeldByOthers_;
+  Incarnation Placer_; ///< Who places our tasks.
+
+  std::unordered_map<uint64_t, OriginJob> Jobs_; ///< By number.
+  std::unordered_map<uint64_t, uint64_t> JobByToken_;
+  std::unordered_map<uint64_t, uint64_t> JobById_;
+  std::set<std::pair<Milliseconds, uint64_t>> GiveUps_;
+  uint64_t NextJob_ = 1;
+
+  std::map<std::string, WorkerHold> Holds_;
+  std::map<std::string, Milliseconds> FencedUntil_;
+
+  PlacerState Placing_;
+};
+
+/// \brief Makes an instance that knows nothing yet.
+FleetInstance makeFleetInstance(FleetOptions Options, uint64_t Seed);
+
+/// \brief Decides what follows from one event.
+FleetActions step(FleetInstance &State, FleetEvent Happened, Milliseconds Now);
+
+/// \brief Whether callers may be sent here.
+bool isReady(const FleetInstance &State);
+
+/// \brief Whether nothing is left that a planned stop has to wait for.
+bool isIdle(const FleetInstance &State);
+
+/// \brief What a caller may be told of a job's state.
+enum class JobState : uint8_t { Unknown, Queued, Active };
+
+/// \brief The state of the job \p Id, if it is here and has no answer yet.
+JobState stateOf(const FleetInstance &State, uint64_t Id);
+
+/// \brief Jobs of the route \p Name that wait here with no task started.
+std::size_t pendingJobs(const FleetInstance &State, std::string_view Name);
+
+/// \brief The route for \p Host and \p Path with the longest prefix, or
+/// nullptr.
+const Route *findRoute(const FleetConfig &Config, std::string_view Host,
+                       std::string_view Path);
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_FLEET_FLEET_H
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/FleetEvents.h
@@ -0,0 +1,127 @@
+#ifndef MARJORAMBEND_FLEET_FLEETEVENTS_H
+#define MARJORAMBEND_FLEET_FLEETEVENTS_H
+
+#include "marjorambend/src/Fleet/FleetMessages.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief Time has passed.
+struct FleetTick {
+  Milliseconds WallClock_; ///< Since the Unix epoch.
+};
+
+/// \brief A configuration was read.
+struct ConfigRead {
+  FleetConfig Config_;
+};
+
+/// \brief The platform's list of workers was read whole.
+struct WorkersRead {
+  std::vector<WorkerReport> Workers_;
+};
+
+/// \brief The platform's list could not be read.
+struct WorkersUnknown {};
+
+/// \brief The caller of a job has closed its connection.
+struct JobAbandoned {
+  uint64_t Token_ = 0;
+};
+
+/// \brief A caller cancels a job.
+struct JobCancel {
+  uint64_t Id_ = 0;
+};
+
+/// \brief A session with another instance has begun.
+struct InstanceUp {
+  InstanceInfo Info_;
+};
+
+/// \brief A session with another instance is over; nothing of it comes later.
+struct InstanceDown {
+  Incarnation Run_;
+};
+
+/// \brief A message of another instance.
+struct InstanceSaid {
+  Incarnation From_;
+  FleetMessage Message_;
+};
+
+/// \brief How a worker has answered an order.
+enum class OrderResult : uint8_t {
+  Accepted,
+  Fenced,     ///< A holder with a higher token has been there.
+  Superseded, ///< This attempt or a later one has ended there.
+  Late,       ///< The lease in the order is over.
+  NoRoom,
+  Invalid,
+  Unhealthy,    ///< The worker does nothing at present.
+  OtherLife,    ///< Another life of the worker answered.
+  NotDelivered, ///< No connection was made.
+  Unknown,      ///< No answer; it may be carried out, now or later.
+};
+
+/// \brief Name of a result in logs.
+const char *nameOf(OrderResult Result);
+
+/// \brief A start was answered, or not.
+struct StartAnswered {
+  std::string Worker_;
+  RunId Run_;
+  OrderResult Result_ = OrderResult::Unknown;
+  std::optional<Milliseconds> WorkerClock_;
+};
+
+/// \brief A stop was answered, or not.
+struct StopAnswered {
+  std::string Worker_;
+  RunId Run_;
+  OrderResult Result_ = OrderResult::Unknown;
+  std::optional<Milliseconds> WorkerClock_;
+};
+
+/// \brief A run that a worker lists.
+struct ListedRun {
+  RunId Run_;
+  double Percent_ = 0; ///< Progress.
+};
+
+/// \brief The end of a run that a worker lists until it is acknowledged.
+struct ListedEnd {
+  uint64_t Number_ = 0; ///< Rises during a life of the worker.
+  RunId Run_;
+  RunEnd End_ = RunEnd::Done;
+};
+
+/// \brief A worker's lists, or why there are none.
+struct WorkerListed {
+  std::string Worker_;
+  uint64_t Look_ = 0; ///< Which look was answered.
+  OrderResult Result_ = OrderResult::Unknown;
+  int64_t Life_ = 0; ///< 0 if not told.
+  std::optional<Milliseconds> WorkerClock_;
+  std::vector<ListedRun> Running_;
+  std::vector<ListedEnd> Ended_;
+};
+
+/// \brief The process is to stop on plan.
+struct FleetStop {};
+
+/// \brief Everything that can happen to an instance of the fleet.
+using FleetEvent =
+    std::variant<FleetTick, ConfigRead, WorkersRead, WorkersUnknown,
+                 JobSubmission, JobAbandoned, JobCancel, InstanceUp,
+                 InstanceDown, InstanceSaid, StartAnswered, StopAnswered,
+                 WorkerListed, FleetStop>;
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_FLEET_FLEETEVENTS_H
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -0,0 +1,117 @@
+#ifndef MARJORAMBEND_FLEET_FLEETMESSAGES_H
+#define MARJORAMBEND_FLEET_FLEETMESSAGES_H
+
+#include "marjorambend/src/Fleet/FleetTypes.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief Sent at each heartbeat: what the others need to know of an instance.
+struct InstanceStatus {
+  bool IsReady_ = false;
+  bool IsStopping_ = false;
+};
+
+/// \brief Workers whose state at their holder has changed.
+struct WorkersHeld {
+  std::vector<HeldWorker> Workers_;
+};
+
+/// \brief Workers that the sender holds no longer.
+struct WorkersDropped {
+  std::vector<std::string> Ids_;
+};
+
+/// \brief Asks the placing instance for workers for tasks of one job.
+struct PlaceRequest {
+  uint64_t Job_ = 0; ///< Number of the job at its origin.
+  uint64_t Id_ = 0;  ///< The caller's identity, for logs.
+  std::string Route_;
+  std::string Service_;
+  std::vector<uint32_t> Tasks_;
+  Room Needs_; ///< Of each task.
+  Milliseconds Estimate_;
+  uint32_t Priority_ = 0;
+  Milliseconds ObjectiveIn_; ///< Time left until the answer counts as late.
+  Milliseconds GiveUpIn_;    ///< Time left until the answer is of no use.
+  std::string Label_;
+  std::string DataRack_;
+  uint32_t MaxPerWorker_ = 0;
+};
+
+/// \brief The tasks of a job that still wait are not wanted any more.
+struct PlaceWithdraw {
+  uint64_t Job_ = 0;
+};
+
+/// \brief The run of a placed task is over; its room is free again.
+struct PlaceRelease {
+  uint64_t Job_ = 0;
+  uint32_t Task_ = 0;
+  RunEnd End_ = RunEnd::Done;
+};
+
+/// \brief A task may start on a worker.
+struct Placement {
+  uint32_t Task_ = 0;
+  std::string Worker_;
+  Incarnation Holder_;
+};
+
+/// \brief Workers for some tasks of a job.
+struct Placed {
+  uint64_t Job_ = 0;
+  std::vector<Placement> Tasks_;
+};
+
+/// \brief The waiting tasks of a job cannot be served in time.
+struct PlaceRefused {
+  uint64_t Job_ = 0;
+  Milliseconds RetryAfter_;
+};
+
+/// \brief Tells a new placing instance of a placement by another one.
+struct PlaceAdopt {
+  uint64_t Job_ = 0;
+  uint32_t Task_ = 0;
+  std::string Worker_;
+  Room Needs_;
+};
+
+/// \brief Asks the holder of a worker to start a run.
+struct StartOrder {
+  uint64_t Job_ = 0; ///< Number of the job at its origin.
+  RunId Run_;
+  std::string Worker_;
+  Room Needs_;
+  Milliseconds Estimate_;
+  std::string Spec_;
+};
+
+/// \brief Asks the holder of a worker to stop a run.
+struct StopOrder {
+  RunId Run_;
+  std::string Worker_;
+};
+
+/// \brief A run is over, as its holder tells the origin of the job.
+struct RunEnded {
+  uint64_t Job_ = 0;
+  RunId Run_;
+  std::string Worker_;
+  RunEnd End_ = RunEnd::Done;
+  Milliseconds Ran_;
+};
+
+/// \brief Everything that instances say to each other.
+using FleetMessage =
+    std::variant<InstanceStatus, WorkersHeld, WorkersDropped, PlaceRequest,
+                 PlaceWithdraw, PlaceRelease, PlaceAdopt, Placed, PlaceRefused, StartOrder,
+                 StopOrder, RunEnded>;
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_FLEET_FLEETMESSAGES_H
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -0,0 +1,78 @@
+#ifndef MARJORAMBEND_FLEET_FLEETOPTIONS_H
+#define MARJORAMBEND_FLEET_FLEETOPTIONS_H
+
+#include "marjorambend/src/Support/Milliseconds.h"
+
+#include <cstdint>
+#include <string>
+
+namespace marjorambend {
+
+/// \brief Parameters of the workers that an instance holds.
+struct HolderOptions {
+  /// Length of a renewed lease; the platform's `hold_max_ms` bounds it.
+  Milliseconds Lease_{1'000};
+  /// How much slower than ours a worker's clock may run, in percent; from the
+  /// platform's protocol.
+  int64_t ClockSlackPercent_ = 2;
+  /// Longest wait of a look while something runs; several renewals fit into
+  /// one lease.
+  Milliseconds BusyWait_{250};
+  /// Longest wait of a look at an idle worker. A run that starts meanwhile is
+  /// renewed after it, within its first lease.
+  Milliseconds IdleWait_{500};
+  /// Pause before a look or a stop that failed is repeated.
+  Milliseconds RetryPause_{100};
+  /// Failed looks in a row after which a worker is suspected.
+  uint32_t SuspectAfter_ = 2;
+  /// Bad ends in a row, of different jobs, after which a worker is ejected.
+  uint32_t EjectAfter_ = 3;
+  /// Time for which a failing worker gets no work before it is probed.
+  Milliseconds Ejection_{2'000};
+  /// Time without any progress, beside a share of the estimate, after which a
+  /// run is taken for hung.
+  Milliseconds HangFloor_{400};
+  /// Weight of the newest run in the learnt slowness.
+  double LearningRate_ = 0.2;
+  /// Relative change of the slowness that is worth a message.
+  double TellChange_ = 0.15;
+  /// Time after the start in which workers are left to others; instances of one
+  /// deployment start within 300 ms of each other.
+  Milliseconds Settle_{500};
+  /// How long a worker is left alone after another holder has taken it.
+  Milliseconds FencedPause_{1'000};
+};
+
+/// \brief Parameters of the instance that places tasks.
+struct PlacerOptions {
+  /// Time for which a worker that has refused a run gets no further one.
+  Milliseconds BackOff_{30};
+  /// Run times that differ by less than this share count as equal.
+  double SimilarRunTime_ = 0.15;
+  /// Least and greatest come-back time of a refusal.
+  Milliseconds LeastRetryAfter_{200};
+  Milliseconds MostRetryAfter_{5'000};
+};
+
+/// \brief Parameters of one instance of the fleet.
+struct FleetOptions {
+  std::string Name_ = "instance";
+  std::string DataCentre_ = "data-centre";
+  uint32_t CpuShare_ = 1'000; ///< Thousandths of a core.
+  /// Interval of heartbeats to other instances.
+  Milliseconds Heartbeat_{100};
+  /// Silence after which another instance places no tasks of ours; three
+  /// heartbeats.
+  Milliseconds PlacerSilence_{300};
+  /// A larger gap between two ticks is a pause: others have given us up.
+  Milliseconds PauseBound_{600};
+  /// Time after an outage of the platform's list in which workers that it
+  /// lacks are kept; the platform restores entries within about two seconds.
+  Milliseconds ListSettle_{2'500};
+  HolderOptions Holder_;
+  PlacerOptions Placer_;
+};
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_FLEET_FLEETOPTIONS_H
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -0,0 +1,76 @@
+#ifndef MARJORAMBEND_FLEET_FLEETSTEP_H
+#define MARJORAMBEND_FLEET_FLEETSTEP_H
+
+#include "marjorambend/src/Fleet/Fleet.h"
+
+#include <deque>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorambend::internal {
+
+/// \brief What every part of a step works on.
+struct FleetTurn {
+  FleetInstance &State_;
+  Milliseconds Now_;
+  FleetActions &Out_;
+  std::deque<FleetMessage> ToSelf_; ///< Handled before the step ends.
+};
+
+/// Jobs that callers brought here; see Origin.cpp.
+/// @{
+void submitJob(FleetTurn &T, JobSubmission Given);
+void abandonJob(FleetTurn &T, uint64_t Token);
+void cancelJob(FleetTurn &T, uint64_t Id);
+void takePlacements(FleetTurn &T, Incarnation From, const Placed &Given);
+void takeRefusal(FleetTurn &T, const PlaceRefused &Refused);
+void takeRunEnd(FleetTurn &T, const RunEnded &Ended);
+void expireJobs(FleetTurn &T);
+void loseHolder(FleetTurn &T, Incarnation Run);
+void choosePlacer(FleetTurn &T);
+void giveUpAllJobs(FleetTurn &T, std::string_view Why);
+/// @}
+
+/// Workers that are held here; see Holder.cpp and Claims.cpp.
+/// @{
+void startRun(FleetTurn &T, Incarnation Origin, const StartOrder &Order);
+void stopRun(FleetTurn &T, const StopOrder &Order);
+void takeStartAnswer(FleetTurn &T, const StartAnswered &Answer);
+void takeStopAnswer(FleetTurn &T, const StopAnswered &Answer);
+void takeLists(FleetTurn &T, const WorkerListed &Listed);
+void tickHolds(FleetTurn &T);
+void stopRunsOf(FleetTurn &T, Incarnation Origin);
+void takeReports(FleetTurn &T, const WorkersRead &Read);
+void chooseHolds(FleetTurn &T);
+void tellAllHolds(FleetTurn &T, Incarnation To);
+/// @}
+
+/// Placing for all; see Placer.cpp.
+/// @{
+void viewWorkers(FleetTurn &T, Incarnation Holder, const WorkersHeld &Held);
+void dropWorkers(FleetTurn &T, Incarnation Holder, const WorkersDropped &Held);
+void requestPlaces(FleetTurn &T, Incarnation Origin, PlaceRequest Request);
+void withdrawPlaces(FleetTurn &T, Incarnation Origin, const PlaceWithdraw &Job);
+void releasePlace(FleetTurn &T, Incarnation Origin, const PlaceRelease &Place);
+void adoptPlace(FleetTurn &T, Incarnation Origin, const PlaceAdopt &Place);
+void forgetInstance(FleetTurn &T, Incarnation Run);
+void placeTasks(FleetTurn &T);
+/// @}
+
+/// \brief Sends a message to an instance, which may be this one.
+void tell(FleetTurn &T, Incarnation To, FleetMessage Message);
+
+/// \brief Sends a message to all other instances.
+void tellAll(FleetTurn &T, const FleetMessage &Message);
+
+/// \brief Adds a log line.
+void log(FleetTurn &T, std::string_view What, uint64_t Job,
+         std::vector<LogField> Fields, bool IsFinal = false);
+
+/// \brief An instant or a duration for a log line.
+inline std::string text(Milliseconds Time) { return std::to_string(Time.Count_); }
+
+} // namespace marjorambend::internal
+
+#endif // MARJORAMBEND_FLEET_FLEETSTEP_H
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -0,0 +1,36 @@
+#ifndef MARJORAMBEND_FLEET_HOLDSTEP_H
+#define MARJORAMBEND_FLEET_HOLDSTEP_H
+
+#include "marjorambend/src/Fleet/FleetStep.h"
+
+namespace marjorambend::internal {
+
+/// Runs on a held worker; see Holder.cpp.
+/// @{
+WorkerTarget targetOf(const WorkerHold &Hold);
+bool isOpen(const WorkerHold &Hold, Milliseconds Now);
+Milliseconds leaseEnd(const FleetTurn &T, const WorkerHold &Hold);
+/// When a lease that was renewed last at LeaseSentAt_ is over in any case.
+Milliseconds leaseSurelyOver(const FleetTurn &T, const WorkerHold &Hold);
+void tellHold(FleetTurn &T, WorkerHold &Hold);
+void tellIfChanged(FleetTurn &T, WorkerHold &Hold);
+void blameHold(FleetTurn &T, WorkerHold &Hold, std::string_view Why);
+void finishRun(FleetTurn &T, WorkerHold &Hold, const RunId &Id, RunEnd End);
+void finishAllRuns(FleetTurn &T, WorkerHold &Hold, RunEnd End);
+void sendStop(FleetTurn &T, WorkerHold &Hold, const RunId &Id, HeldRun &Run);
+void applyLists(FleetTurn &T, WorkerHold &Hold, const WorkerListed &Listed);
+/// @}
+
+/// Claiming, watching and losing a worker; see Claims.cpp.
+/// @{
+/// Another holder has fenced this one off; its runs end with their lease.
+void loseToFence(FleetTurn &T, WorkerHold &Hold);
+/// The life that was held is over, and all that ran in it.
+void endLife(FleetTurn &T, WorkerHold &Hold);
+/// Looks at the worker now, unless a look is under way.
+void lookSoon(FleetTurn &T, WorkerHold &Hold);
+/// @}
+
+} // namespace marjorambend::internal
+
+#endif // MARJORAMBEND_FLEET_HOLDSTEP_H
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -0,0 +1,434 @@
+/// \file
+/// \brief Jobs at the instance that took them from their callers.
+
+#include "marjorambend/src/Fleet/FleetStep.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace marjorambend::internal {
+
+// A worker refuses an attempt that is not above those it has ended. Another
+// origin may have made a few before the caller came here.
+static constexpr uint32_t AttemptsSkipped = 3;
+
+static constexpr Milliseconds NoPatienceKnown{60'000};
+
+static OriginJob *findJob(FleetInstance &State, uint64_t Number) {
+  const auto Found = State.Jobs_.find(Number);
+  return Found == State.Jobs_.end() ? nullptr : &Found->second;
+}
+
+static void answerJob(FleetTurn &T, OriginJob &Job, JobOutcome Outcome,
+                      std::string_view Why, Milliseconds RetryAfter = {}) {
+  Job.IsAnswered_ = true;
+  const bool IsServed = Outcome == JobOutcome::Completed;
+  log(T, "answer", Job.Submission_.Id_,
+      {{"outcome", nameOf(Outcome)},
+       {"why", std::string(Why)},
+       {"route", Job.Route_.Name_},
+       {"config", std::to_string(T.State_.Config_.Version_)},
+       {"took_ms", text(T.Now_ - Job.ArrivedAt_)},
+       {"objective_ms", text(Job.ObjectiveAt_ - Job.ArrivedAt_)},
+       {"done", std::to_string(Job.DoneTasks_)},
+       {"tasks", std::to_string(Job.Tasks_.size())}},
+      !IsServed);
+  for (const uint64_t Token : Job.Tokens_) {
+    T.State_.JobByToken_.erase(Token);
+    T.Out_.push_back(AnswerJob{Token, Outcome, RetryAfter});
+  }
+  Job.Tokens_.clear();
+}
+
+static void forgetJob(FleetTurn &T, const OriginJob &Job) {
+  FleetInstance &State = T.State_;
+  State.GiveUps_.erase({Job.GiveUpAt_, Job.Number_});
+  const auto Id = State.JobById_.find(Job.Submission_.Id_);
+  if (Id != State.JobById_.end() && Id->second == Job.Number_)
+    State.JobById_.erase(Id);
+  State.Jobs_.erase(Job.Number_);
+}
+
+static bool hasRuns(const OriginJob &Job) {
+  return std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
+                     [](const OriginTask &Task) {
+                       return Task.Phase_ == OriginTaskPhase::Ordered;
+                     });
+}
+
+// Drops what waits and stops what runs; the job stays until all has ended.
+static void closeJob(FleetTurn &T, OriginJob &Job) {
+  bool HasWaiting = false;
+  for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
+    OriginTask &Task = Job.Tasks_[Index];
+    if (Task.Phase_ == OriginTaskPhase::Waiting) {
+      HasWaiting = true;
+      Task.Phase_ = OriginTaskPhase::Dropped;
+    } else if (Task.Phase_ == OriginTaskPhase::Ordered) {
+      tell(T, Task.Holder_,
+           StopOrder{.Run_ = {Job.Submission_.Id_, Index, Task.Attempt_},
+                     .Worker_ = Task.Worker_});
+    }
+  }
+  if (HasWaiting)
+    tell(T, Job.Placer_, PlaceWithdraw{Job.Number_});
+  if (!hasRuns(Job))
+    forgetJob(T, Job);
+}
+
+static void giveUpJob(FleetTurn &T, OriginJob &Job, std::string_view Why,
+                      Milliseconds RetryAfter) {
+  const JobOutcome Outcome =
+      Job.HasStarted_ ? JobOutcome::MayHaveRun : JobOutcome::NotRun;
+  answerJob(T, Job, Outcome, Why, RetryAfter);
+  closeJob(T, Job);
+}
+
+static void requestTasks(FleetTurn &T, OriginJob &Job,
+                         std::vector<uint32_t> Tasks) {
+  const JobSubmission &Given = Job.Submission_;
+  Job.Placer_ = T.State_.Placer_;
+  tell(T, Job.Placer_,
+       PlaceRequest{.Job_ = Job.Number_,
+                    .Id_ = Given.Id_,
+                    .Route_ = Job.Route_.Name_,
+                    .Service_ = Job.Route_.Service_,
+                    .Tasks_ = std::move(Tasks),
+                    .Needs_ = Given.Needs_,
+                    .Estimate_ = Given.Estimate_,
+                    .Priority_ = Job.Route_.Priority_,
+                    .ObjectiveIn_ = Job.ObjectiveAt_ - T.Now_,
+                    .GiveUpIn_ = Job.GiveUpAt_ - T.Now_,
+                    .Label_ = Given.Label_,
+                    .DataRack_ = Given.DataRack_,
+                    .MaxPerWorker_ = Given.MaxPerWorker_});
+}
+
+static std::vector<uint32_t> waitingTasks(const OriginJob &Job) {
+  std::vector<uint32_t> Waiting;
+  for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
+    if (Job.Tasks_[Index].Phase_ == OriginTaskPhase::Waiting)
+      Waiting.push_back(Index);
+  }
+  return Waiting;
+}
+
+static void refuseAtOnce(FleetTurn &T, const JobSubmission &Given,
+                         JobOutcome Outcome, std::string_view Why,
+                         Milliseconds RetryAfter = {}) {
+  log(T, "answer", Given.Id_,
+      {{"outcome", nameOf(Outcome)},
+       {"why", std::string(Why)},
+       {"config", std::to_string(T.State_.Config_.Version_)}},
+      true);
+  T.Out_.push_back(AnswerJob{Given.Token_, Outcome, RetryAfter});
+}
+
+// A resubmission of a job that is under way joins it; one of a job whose runs
+// are still being stopped has to come back.
+static bool joinJob(FleetTurn &T, const JobSubmission &Given) {
+  const auto Known = T.State_.JobById_.find(Given.Id_);
+  if (Known == T.State_.JobById_.end())
+    return false;
+  OriginJob &Job = T.State_.Jobs_.at(Known->second);
+  if (Job.IsAnswered_) {
+    refuseAtOnce(T, Given, JobOutcome::NotRun, "earlier runs are being stopped",
+                 T.State_.Options_.Placer_.LeastRetryAfter_);
+    return true;
+  }
+  log(T, "joined", Given.Id_, {{"age_ms", text(T.Now_ - Job.ArrivedAt_)}});
+  Job.Tokens_.push_back(Given.Token_);
+  T.State_.JobByToken_[Given.Token_] = Job.Number_;
+  return true;
+}
+
+static Milliseconds giveUpTime(const JobSubmission &Given, const Route &Way,
+                               Milliseconds Now) {
+  Milliseconds Patience = NoPatienceKnown;
+  if (Given.Patience_.Count_ > 0)
+    Patience = std::min(Patience, Given.Patience_);
+  if (Way.Timeout_.Count_ > 0)
+    Patience = std::min(Patience, Way.Timeout_);
+  return Now + Patience;
+}
+
+void submitJob(FleetTurn &T, JobSubmission Given) {
+  FleetInstance &State = T.State_;
+  increment(State.Counters_, Counter::JobsSubmitted);
+  if (State.Config_.Version_ == 0) {
+    refuseAtOnce(T, Given, JobOutcome::NotRun, "no configuration yet",
+                 State.Options_.Placer_.LeastRetryAfter_);
+    return;
+  }
+  const Route *Way = findRoute(State.Config_, Given.Host_, Given.Path_);
+  if (Way == nullptr) {
+    refuseAtOnce(T, Given, JobOutcome::NoSuchRoute, "no such route");
+    return;
+  }
+  if (Way->NeedsAdvice_) {
+    refuseAtOnce(T, Given, JobOutcome::NotSupported, "the route needs advice",
+                 State.Options_.Placer_.MostRetryAfter_);
+    return;
+  }
+  if (joinJob(T, Given))
+    return;
+  const uint64_t Number = State.NextJob_++;
+  OriginJob &Job = State.Jobs_[Number];
+  Job.Number_ = Number;
+  Job.Route_ = *Way;
+  Job.ArrivedAt_ = T.Now_;
+  Job.GiveUpAt_ = giveUpTime(Given, *Way, T.Now_);
+  const auto Ideal = static_cast<int64_t>(
+      static_cast<double>(Given.Estimate_.Count_) * Way->StretchFactor_);
+  Job.ObjectiveAt_ = T.Now_ + Milliseconds{Ideal} + Way->TargetLatency_;
+  Job.Tasks_.resize(Given.Tasks_);
+  Job.Tokens_ = {Given.Token_};
+  Job.Submission_ = std::move(Given);
+  State.JobByToken_[Job.Submission_.Token_] = Number;
+  State.JobById_[Job.Submission_.Id_] = Number;
+  State.GiveUps_.insert({Job.GiveUpAt_, Number});
+  log(T, "taken", Job.Submission_.Id_,
+      {{"route", Job.Route_.Name_},
+       {"config", std::to_string(State.Config_.Version_)},
+       {"tasks", std::to_string(Job.Tasks_.size())},
+       {"cores_m", std::to_string(Job.Submission_.Needs_.MilliCores_)},
+       {"estimate_ms", text(Job.Submission_.Estimate_)},
+       {"patience_ms", text(Job.GiveUpAt_ - T.Now_)},
+       {"objective_ms", text(Job.ObjectiveAt_ - T.Now_)}});
+  requestTasks(T, Job, waitingTasks(Job));
+}
+
+void abandonJob(FleetTurn &T, uint64_t Token) {
+  FleetInstance &State = T.State_;
+  const auto Found = State.JobByToken_.find(Token);
+  if (Found == State.JobByToken_.end())
+    return;
+  OriginJob &Job = State.Jobs_.at(Found->second);
+  State.JobByToken_.erase(Found);
+  std::erase(Job.Tokens_, Token);
+  if (!Job.Tokens_.empty())
+    return;
+  increment(State.Counters_, Counter::JobsCancelled);
+  answerJob(T, Job, JobOutcome::Cancelled, "the caller has left");
+  closeJob(T, Job);
+}
+
+void cancelJob(FleetTurn &T, uint64_t Id) {
+  const auto Found = T.State_.JobById_.find(Id);
+  if (Found == T.State_.JobById_.end())
+    return;
+  OriginJob &Job = T.State_.Jobs_.at(Found->second);
+  if (Job.IsAnswered_)
+    return;
+  increment(T.State_.Counters_, Counter::JobsCancelled);
+  answerJob(T, Job, JobOutcome::Cancelled, "cancelled");
+  closeJob(T, Job);
+}
+
+static void orderTask(FleetTurn &T, OriginJob &Job, const Placement &Place,
+                      Incarnation Placer) {
+  OriginTask &Task = Job.Tasks_[Place.Task_];
+  Task.Phase_ = OriginTaskPhase::Ordered;
+  Task.Worker_ = Place.Worker_;
+  Task.Holder_ = Place.Holder_;
+  Task.Placer_ = Placer;
+  ++Task.Attempt_;
+  Job.HasStarted_ = true;
+  log(T, "placed", Job.Submission_.Id_,
+      {{"task", std::to_string(Place.Task_)},
+       {"attempt", std::to_string(Task.Attempt_)},
+       {"worker", Place.Worker_},
+       {"waited_ms", text(T.Now_ - Job.ArrivedAt_)}});
+  tell(T, Place.Holder_,
+       StartOrder{.Job_ = Job.Number_,
+                  .Run_ = {Job.Submission_.Id_, Place.Task_, Task.Attempt_},
+                  .Worker_ = Place.Worker_,
+                  .Needs_ = Job.Submission_.Needs_,
+                  .Estimate_ = Job.Submission_.Estimate_,
+                  .Spec_ = Job.Submission_.Spec_});
+}
+
+static bool isReachable(const FleetInstance &State, Incarnation Run) {
+  return Run == State.Self_.Run_ || State.Members_.contains(Run);
+}
+
+void takePlacements(FleetTurn &T, Incarnation From, const Placed &Given) {
+  OriginJob *Job = findJob(T.State_, Given.Job_);
+  std::vector<uint32_t> Again;
+  for (const Placement &Place : Given.Tasks_) {
+    const bool IsWanted = Job != nullptr && !Job->IsAnswered_ &&
+                          Place.Task_ < Job->Tasks_.size() &&
+                          Job->Placer_ == From &&
+                          Job->Tasks_[Place.Task_].Phase_ == OriginTaskPhase::Waiting;
+    if (IsWanted && isReachable(T.State_, Place.Holder_)) {
+      orderTask(T, *Job, Place, From);
+      continue;
+    }
+    if (IsWanted)
+      Again.push_back(Place.Task_);
+    tell(T, From, PlaceRelease{Given.Job_, Place.Task_, RunEnd::NotStarted});
+  }
+  if (!Again.empty())
+    requestTasks(T, *Job, std::move(Again));
+}
+
+void takeRefusal(FleetTurn &T, const PlaceRefused &Refused) {
+  OriginJob *Job = findJob(T.State_, Refused.Job_);
+  if (Job == nullptr || Job->IsAnswered_)
+    return;
+  increment(T.State_.Counters_, Counter::AnswersNotRun);
+  giveUpJob(T, *Job, "cannot be served in time", Refused.RetryAfter_);
+}
+
+static bool isDecided(FleetTurn &T, OriginJob &Job, uint32_t Index,
+                      RunEnd End) {
+  OriginTask &Task = Job.Tasks_[Index];
+  if (End == RunEnd::Done) {
+    Task.Phase_ = OriginTaskPhase::Done;
+    ++Job.DoneTasks_;
+    if (Job.DoneTasks_ < Job.Tasks_.size())
+      return true;
+    increment(T.State_.Counters_, Counter::AnswersComplete);
+    answerJob(T, Job, JobOutcome::Completed, "all tasks are done");
+    forgetJob(T, Job);
+    return true;
+  }
+  if (End == RunEnd::Failed && ++Task.Failures_ >= Job.Route_.MaxAttempts_) {
+    Task.Phase_ = OriginTaskPhase::Dropped;
+    answerJob(T, Job, JobOutcome::Failed, "a task has failed too often");
+    closeJob(T, Job);
+    return true;
+  }
+  return false;
+}
+
+void takeRunEnd(FleetTurn &T, const RunEnded &Ended) {
+  OriginJob *Job = findJob(T.State_, Ended.Job_);
+  if (Job == nullptr || Ended.Run_.Task_ >= Job->Tasks_.size())
+    return;
+  const uint32_t Index = Ended.Run_.Task_;
+  OriginTask &Task = Job->Tasks_[Index];
+  if (Task.Phase_ != OriginTaskPhase::Ordered ||
+      Task.Attempt_ != Ended.Run_.Attempt_)
+    return;
+  if (Ended.End_ != RunEnd::Done)
+    log(T, "run_ended", Job->Submission_.Id_,
+        {{"task", std::to_string(Index)},
+         {"attempt", std::to_string(Task.Attempt_)},
+         {"worker", Ended.Worker_},
+         {"end", nameOf(Ended.End_)},
+         {"ran_ms", text(Ended.Ran_)}});
+  if (isReachable(T.State_, Task.Placer_))
+    tell(T, Task.Placer_, PlaceRelease{Job->Number_, Index, Ended.End_});
+  Task.Phase_ = OriginTaskPhase::Dropped;
+  if (Job->IsAnswered_) {
+    if (!hasRuns(*Job))
+      forgetJob(T, *Job);
+    return;
+  }
+  if (isDecided(T, *Job, Index, Ended.End_))
+    return;
+  if (Ended.End_ == RunEnd::Superseded)
+    Task.Attempt_ += AttemptsSkipped;
+  Task.Phase_ = OriginTaskPhase::Waiting;
+  requestTasks(T, *Job, {Index});
+}
+
+void expireJobs(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  while (!State.GiveUps_.empty() && State.GiveUps_.begin()->first <= T.Now_) {
+    const uint64_t Number = State.GiveUps_.begin()->second;
+    State.GiveUps_.erase(State.GiveUps_.begin());
+    OriginJob *Job = findJob(State, Number);
+    if (Job != nullptr && !Job->IsAnswered_)
+      giveUpJob(T, *Job, "the time is over",
+                State.Options_.Placer_.LeastRetryAfter_);
+  }
+}
+
+// The holder stops what it runs for us as it loses us too; until then a task
+// may still run, so that the job is not started again here.
+void loseHolder(FleetTurn &T, Incarnation Run) {
+  std::vector<uint64_t> Hit;
+  for (auto &[Number, Job] : T.State_.Jobs_) {
+    bool IsHit = false;
+    for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
+      OriginTask &Task = Job.Tasks_[Index];
+      if (Task.Phase_ != OriginTaskPhase::Ordered || Task.Holder_ != Run)
+        continue;
+      Task.Phase_ = OriginTaskPhase::Dropped;
+      IsHit = true;
+      if (isReachable(T.State_, Task.Placer_))
+        tell(T, Task.Placer_, PlaceRelease{Number, Index, RunEnd::Lost});
+    }
+    if (IsHit)
+      Hit.push_back(Number);
+  }
+  for (const uint64_t Number : Hit) {
+    OriginJob &Job = T.State_.Jobs_.at(Number);
+    if (!Job.IsAnswered_)
+      giveUpJob(T, Job, "the holder of its worker is lost", {});
+    else if (!hasRuns(Job))
+      forgetJob(T, Job);
+  }
+}
+
+void giveUpAllJobs(FleetTurn &T, std::string_view Why) {
+  std::vector<uint64_t> Numbers;
+  for (const auto &[Number, Job] : T.State_.Jobs_) {
+    if (!Job.IsAnswered_)
+      Numbers.push_back(Number);
+  }
+  for (const uint64_t Number : Numbers)
+    giveUpJob(T, T.State_.Jobs_.at(Number), Why,
+              T.State_.Options_.Placer_.LeastRetryAfter_);
+}
+
+static bool isBetterPlacer(const InstanceInfo &A, const InstanceInfo &B) {
+  if (A.CpuShare_ != B.CpuShare_)
+    return A.CpuShare_ > B.CpuShare_;
+  return A.Name_ < B.Name_;
+}
+
+// What waits and what is reserved moves to the new placer.
+static void moveToPlacer(FleetTurn &T, Incarnation Before) {
+  const bool IsBeforeThere = isReachable(T.State_, Before);
+  for (auto &[Number, Job] : T.State_.Jobs_) {
+    std::vector<uint32_t> Waiting = waitingTasks(Job);
+    if (!Waiting.empty() && IsBeforeThere)
+      tell(T, Before, PlaceWithdraw{Number});
+    if (!Waiting.empty())
+      requestTasks(T, Job, std::move(Waiting));
+    for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
+      OriginTask &Task = Job.Tasks_[Index];
+      if (Task.Phase_ != OriginTaskPhase::Ordered)
+        continue;
+      if (isReachable(T.State_, Task.Placer_))
+        tell(T, Task.Placer_, PlaceRelease{Number, Index, RunEnd::Done});
+      Task.Placer_ = T.State_.Placer_;
+      tell(T, Task.Placer_,
+           PlaceAdopt{Number, Index, Task.Worker_, Job.Submission_.Needs_});
+    }
+  }
+}
+
+void choosePlacer(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  const InstanceInfo *Best = isReady(State) ? &State.Self_ : nullptr;
+  for (const auto &[Run, Other] : State.Members_) {
+    const bool IsEligible =
+        Other.Status_.IsReady_ && !Other.Status_.IsStopping_ &&
+        T.Now_ - Other.HeardAt_ <= State.Options_.PlacerSilence_;
+    if (IsEligible && (Best == nullptr || isBetterPlacer(Other.Info_, *Best)))
+      Best = &Other.Info_;
+  }
+  const Incarnation Chosen = Best == nullptr ? State.Self_.Run_ : Best->Run_;
+  if (Chosen == State.Placer_)
+    return;
+  const Incarnation Before = State.Placer_;
+  State.Placer_ = Chosen;
+  log(T, "placer", 0, {{"instance", Best == nullptr ? State.Self_.Name_ : Best->Name_}});
+  moveToPlacer(T, Before);
+}
+
+} // namespace marjorambend::internal
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/Placement.h
@@ -0,0 +1,41 @@
+#ifndef MARJORAMBEND_FLEET_PLACEMENT_H
+#define MARJORAMBEND_FLEET_PLACEMENT_H
+
+#include "marjorambend/src/Fleet/FleetOptions.h"
+#include "marjorambend/src/Fleet/PlacerState.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace marjorambend {
+
+/// \brief What one task wants of a worker.
+struct TaskWish {
+  const PlacerJob &Job_;
+  /// Latest end of the run, or nothing if any end will do.
+  std::optional<Milliseconds> EndBefore_;
+  double UsualSlowness_ = 1.0; ///< Of the fleet's faster half.
+};
+
+/// \brief Expected run time of a task of \p Job on \p Worker.
+Milliseconds expectedRun(const PlacerJob &Job, const PlacerWorker &Worker,
+                         double UsualSlowness);
+
+/// \brief Chooses a worker with room: the shortest expected run, among similar
+/// ones a worker of the caller's data centre, among those the tightest fit.
+///
+/// \returns the worker's entry, or the end of \p Workers if none will do.
+/// \sa PlacerOptions::SimilarRunTime_
+std::map<std::string, PlacerWorker>::iterator
+chooseWorkerFor(std::map<std::string, PlacerWorker> &Workers,
+                const TaskWish &Wish, const PlacerOptions &Options,
+                Milliseconds Now);
+
+/// \brief Whether \p Worker could run tasks of \p Job when it is empty.
+bool isEligible(const PlacerJob &Job, const PlacerWorker &Worker);
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_FLEET_PLACEMENT_H
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -0,0 +1,261 @@
+/// \file
+/// \brief Placing the waiting tasks of all instances on all workers.
+
+#include "marjorambend/src/Fleet/FleetStep.h"
+#include "marjorambend/src/Fleet/Placement.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace marjorambend::internal {
+
+void viewWorkers(FleetTurn &T, Incarnation Holder, const WorkersHeld &Held) {
+  FleetInstance &State = T.State_;
+  for (const HeldWorker &Worker : Held.Workers_) {
+    const std::string &Id = Worker.Report_.Id_;
+    if (Holder != State.Self_.Run_)
+      State.HeldByOthers_[Id] = Holder;
+    PlacerWorker &Known = State.Placing_.Workers_[Id];
+    // Of two holders, the one that was fenced off reports it as closed.
+    const bool IsContested =
+        Known.Holder_ != Holder && Known.Held_.IsOpen_ && !Worker.IsOpen_;
+    if (IsContested)
+      continue;
+    if (Worker.Report_.Life_ != Known.Held_.Report_.Life_)
+      Known.BackOffUntil_ = {};
+    Known.Held_ = Worker;
+    Known.Holder_ = Holder;
+  }
+  State.Placing_.IsDirty_ = true;
+}
+
+void dropWorkers(FleetTurn &T, Incarnation Holder,
+                 const WorkersDropped &Dropped) {
+  FleetInstance &State = T.State_;
+  for (const std::string &Id : Dropped.Ids_) {
+    const auto Other = State.HeldByOthers_.find(Id);
+    if (Other != State.HeldByOthers_.end() && Other->second == Holder)
+      State.HeldByOthers_.erase(Other);
+    const auto Known = State.Placing_.Workers_.find(Id);
+    if (Known != State.Placing_.Workers_.end() &&
+        Known->second.Holder_ == Holder)
+      State.Placing_.Workers_.erase(Known);
+  }
+}
+
+static void unreserve(PlacerState &Placing, const PlacerJob &Job,
+                      const std::string &Worker) {
+  const auto Found = Placing.Workers_.find(Worker);
+  if (Found != Placing.Workers_.end())
+    Found->second.Reserved_ = Found->second.Reserved_ - Job.Request_.Needs_;
+  Placing.IsDirty_ = true;
+}
+
+void forgetInstance(FleetTurn &T, Incarnation Run) {
+  FleetInstance &State = T.State_;
+  PlacerState &Placing = State.Placing_;
+  std::erase_if(State.HeldByOthers_,
+                [Run](const auto &Entry) { return Entry.second == Run; });
+  for (auto It = Placing.Jobs_.begin(); It != Placing.Jobs_.end();) {
+    if (It->first.first != Run) {
+      ++It;
+      continue;
+    }
+    for (const Reservation &One : It->second.Reservations_)
+      unreserve(Placing, It->second, One.Worker_);
+    It = Placing.Jobs_.erase(It);
+  }
+  std::erase_if(Placing.Workers_, [Run](const auto &Entry) {
+    return Entry.second.Holder_ == Run;
+  });
+}
+
+static std::string dataCentreOf(const FleetInstance &State, Incarnation Run) {
+  if (Run == State.Self_.Run_)
+    return State.Self_.DataCentre_;
+  const auto Found = State.Members_.find(Run);
+  return Found == State.Members_.end() ? std::string()
+                                       : Found->second.Info_.DataCentre_;
+}
+
+void requestPlaces(FleetTurn &T, Incarnation Origin, PlaceRequest Request) {
+  PlacerState &Placing = T.State_.Placing_;
+  PlacerJob &Job = Placing.Jobs_[{Origin, Request.Job_}];
+  if (Job.ArrivedAt_.Count_ == 0)
+    Job.ArrivedAt_ = T.Now_;
+  Job.Origin_ = Origin;
+  Job.OriginDataCentre_ = dataCentreOf(T.State_, Origin);
+  Job.ObjectiveAt_ = T.Now_ + Request.ObjectiveIn_;
+  Job.GiveUpAt_ = T.Now_ + Request.GiveUpIn_;
+  std::vector<uint32_t> Waiting = std::move(Job.Request_.Tasks_);
+  Waiting.insert(Waiting.end(), Request.Tasks_.begin(), Request.Tasks_.end());
+  Job.Request_ = std::move(Request);
+  Job.Request_.Tasks_ = std::move(Waiting);
+  Placing.IsDirty_ = true;
+}
+
+static void forgetIfDone(PlacerState &Placing, const PlacerJobKey &Key) {
+  const auto Found = Placing.Jobs_.find(Key);
+  if (Found != Placing.Jobs_.end() && Found->second.Request_.Tasks_.empty() &&
+      Found->second.Reservations_.empty())
+    Placing.Jobs_.erase(Found);
+}
+
+void withdrawPlaces(FleetTurn &T, Incarnation Origin,
+                    const PlaceWithdraw &Job) {
+  PlacerState &Placing = T.State_.Placing_;
+  const PlacerJobKey Key{Origin, Job.Job_};
+  const auto Found = Placing.Jobs_.find(Key);
+  if (Found == Placing.Jobs_.end())
+    return;
+  Found->second.Request_.Tasks_.clear();
+  forgetIfDone(Placing, Key);
+}
+
+void releasePlace(FleetTurn &T, Incarnation Origin, const PlaceRelease &Place) {
+  PlacerState &Placing = T.State_.Placing_;
+  const PlacerJobKey Key{Origin, Place.Job_};
+  const auto Found = Placing.Jobs_.find(Key);
+  if (Found == Placing.Jobs_.end())
+    return;
+  PlacerJob &Job = Found->second;
+  const auto One = std::find_if(
+      Job.Reservations_.begin(), Job.Reservations_.end(),
+      [&Place](const Reservation &R) { return R.Task_ == Place.Task_; });
+  if (One == Job.Reservations_.end())
+    return;
+  const auto Worker = Placing.Workers_.find(One->Worker_);
+  if (Place.End_ == RunEnd::NotStarted && Worker != Placing.Workers_.end())
+    Worker->second.BackOffUntil_ = T.Now_ + T.State_.Options_.Placer_.BackOff_;
+  unreserve(Placing, Job, One->Worker_);
+  Job.Reservations_.erase(One);
+  forgetIfDone(Placing, Key);
+}
+
+void adoptPlace(FleetTurn &T, Incarnation Origin, const PlaceAdopt &Place) {
+  PlacerState &Placing = T.State_.Placing_;
+  PlacerJob &Job = Placing.Jobs_[{Origin, Place.Job_}];
+  Job.Origin_ = Origin;
+  Job.Request_.Needs_ = Place.Needs_;
+  Job.Reservations_.push_back({Place.Task_, Place.Worker_});
+  const auto Worker = Placing.Workers_.find(Place.Worker_);
+  if (Worker != Placing.Workers_.end())
+    Worker->second.Reserved_ = Worker->second.Reserved_ + Place.Needs_;
+}
+
+// Estimates are compared with the faster half of the fleet, since a job's
+// objective is meant for sound workers.
+static double usualSlowness(const PlacerState &Placing) {
+  std::vector<double> Known;
+  for (const auto &[Id, Worker] : Placing.Workers_) {
+    if (Worker.Held_.IsOpen_)
+      Known.push_back(Worker.Held_.Slowness_);
+  }
+  if (Known.empty())
+    return 1.0;
+  const auto Middle =
+      Known.begin() + static_cast<std::ptrdiff_t>(Known.size() / 2);
+  std::nth_element(Known.begin(), Middle, Known.end());
+  return *Middle;
+}
+
+static Milliseconds retryAfter(FleetTurn &T) {
+  const PlacerOptions &Options = T.State_.Options_.Placer_;
+  const PlacerState &Placing = T.State_.Placing_;
+  double Work = 0; // milli-core milliseconds
+  double Cores = 1;
+  for (const auto &[Key, Job] : Placing.Jobs_)
+    Work += static_cast<double>(Job.Request_.Tasks_.size()) *
+            static_cast<double>(Job.Request_.Needs_.MilliCores_) *
+            static_cast<double>(Job.Request_.Estimate_.Count_);
+  for (const auto &[Id, Worker] : Placing.Workers_) {
+    if (Worker.Held_.IsOpen_)
+      Cores += static_cast<double>(Worker.Held_.Report_.Capacity_.MilliCores_);
+  }
+  // Spread, so that those refused together do not return together.
+  const double Spread = 1.0 + uniformUnit(T.State_.Generator_);
+  const auto Wait = static_cast<int64_t>(Work / Cores * Spread);
+  return {std::clamp(Wait, Options.LeastRetryAfter_.Count_,
+                     Options.MostRetryAfter_.Count_)};
+}
+
+static void refuse(FleetTurn &T, PlacerJob &Job, std::string_view Why) {
+  const Milliseconds ComeBack = retryAfter(T);
+  log(T, "place_refused", Job.Request_.Id_,
+      {{"why", std::string(Why)},
+       {"waited_ms", text(T.Now_ - Job.ArrivedAt_)},
+       {"waiting_jobs", std::to_string(T.State_.Placing_.Jobs_.size())},
+       {"retry_after_ms", text(ComeBack)}});
+  Job.Request_.Tasks_.clear();
+  tell(T, Job.Origin_, PlaceRefused{Job.Request_.Job_, ComeBack});
+}
+
+// Jobs that can meet their objective come first, in the order in which their
+// last chance to start passes; the others take what is left.
+static std::vector<PlacerJobKey> waitingOrder(const PlacerState &Placing,
+                                              Milliseconds Now) {
+  struct Entry {
+    bool IsLate_;
+    Milliseconds LatestStart_;
+    PlacerJobKey Key_;
+  };
+  std::vector<Entry> Waiting;
+  for (const auto &[Key, Job] : Placing.Jobs_) {
+    if (Job.Request_.Tasks_.empty())
+      continue;
+    const Milliseconds Latest = Job.ObjectiveAt_ - Job.Request_.Estimate_;
+    Waiting.push_back({Latest < Now, Latest, Key});
+  }
+  std::sort(Waiting.begin(), Waiting.end(), [](const Entry &A, const Entry &B) {
+    return std::tie(A.IsLate_, A.LatestStart_, A.Key_) <
+           std::tie(B.IsLate_, B.LatestStart_, B.Key_);
+  });
+  std::vector<PlacerJobKey> Order;
+  for (const Entry &One : Waiting)
+    Order.push_back(One.Key_);
+  return Order;
+}
+
+static void placeJob(FleetTurn &T, PlacerJob &Job, double Usual) {
+  PlacerState &Placing = T.State_.Placing_;
+  const Milliseconds Latest = Job.ObjectiveAt_ - Job.Request_.Estimate_;
+  TaskWish Wish{.Job_ = Job, .UsualSlowness_ = Usual};
+  if (Latest >= T.Now_)
+    Wish.EndBefore_ = Job.ObjectiveAt_;
+  Placed Answer{.Job_ = Job.Request_.Job_};
+  std::vector<uint32_t> &Tasks = Job.Request_.Tasks_;
+  while (!Tasks.empty()) {
+    const auto Chosen = chooseWorkerFor(Placing.Workers_, Wish,
+                                        T.State_.Options_.Placer_, T.Now_);
+    if (Chosen == Placing.Workers_.end())
+      break;
+    PlacerWorker &Worker = Chosen->second;
+    Worker.Reserved_ = Worker.Reserved_ + Job.Request_.Needs_;
+    Job.Reservations_.push_back({Tasks.front(), Chosen->first});
+    Answer.Tasks_.push_back({Tasks.front(), Chosen->first, Worker.Holder_});
+    Tasks.erase(Tasks.begin());
+  }
+  if (!Answer.Tasks_.empty())
+    tell(T, Job.Origin_, std::move(Answer));
+}
+
+void placeTasks(FleetTurn &T) {
+  PlacerState &Placing = T.State_.Placing_;
+  const std::vector<PlacerJobKey> Order = waitingOrder(Placing, T.Now_);
+  if (Order.empty())
+    return;
+  const double Usual = usualSlowness(Placing);
+  for (const PlacerJobKey &Key : Order) {
+    const auto Found = Placing.Jobs_.find(Key);
+    if (Found == Placing.Jobs_.end())
+      continue;
+    PlacerJob &Job = Found->second;
+    if (T.Now_ + Job.Request_.Estimate_ > Job.GiveUpAt_)
+      refuse(T, Job, "too little time is left");
+    else
+      placeJob(T, Job, Usual);
+    forgetIfDone(Placing, Key);
+  }
+}
+
+} // namespace marjorambend::internal
--- /dev/null
+++ b/daemon/FleetDaemon.cpp
@@ -0,0 +1,288 @@
+#include "FleetDaemon.h"
+
+#include <random>
+
+namespace marjorambend {
+
+using namespace platform;
+
+static constexpr Milliseconds TickInterval{20};
+// Connections to workers and the store carry a call every second or so.
+static constexpr Milliseconds MaxIdleConnection{30'000};
+// The platform sends new connections elsewhere after two failed checks, a
+// second apart.
+static constexpr Milliseconds StopDelay{2'500};
+// Left of the grace for the last bytes and the exit.
+static constexpr Milliseconds StopMargin{500};
+static constexpr uint16_t NotFound = 404;
+
+static uint64_t seedFrom(uint64_t Given) {
+  if (Given != 0)
+    return Given;
+  std::random_device Source;
+  return (static_cast<uint64_t>(Source()) << 32U) | Source();
+}
+
+static FleetInstance makeInstance(const PlatformSettings &Settings,
+                                  uint64_t Seed) {
+  FleetOptions Options;
+  Options.Name_ = Settings.Name_;
+  Options.DataCentre_ = Settings.DataCentre_;
+  Options.CpuShare_ = Settings.CpuShare_;
+  Options.Holder_.Lease_ = Settings.MaxLease_;
+  FleetInstance State = makeFleetInstance(std::move(Options), seedFrom(Seed));
+  State.Self_.Address_ = Settings.Links_.Address_;
+  State.Self_.Port_ = Settings.Links_.Port_;
+  return State;
+}
+
+static HttpServerOptions listenOn(const Endpoint &At) {
+  return {.Address_ = At.Address_,
+          .Port_ = At.Port_,
+          .MaxBodyBytes_ = RequestLimits{}.MaxBodyBytes_,
+          .RequestTimeout_ = RequestLimits{}.HeaderTimeout_};
+}
+
+/// \brief Carries out the actions of a step.
+struct FleetDaemonActions {
+  FleetDaemon &D_;
+
+  void operator()(const AnswerJob &A) const {
+    D_.Callers_.reply(A.Token_, encodeAnswer(A));
+  }
+  void operator()(const StartRun &A) const { D_.Workers_.start(A); }
+  void operator()(const StopRun &A) const { D_.Workers_.stop(A); }
+  void operator()(const LookAtWorker &A) const { D_.Workers_.look(A); }
+  void operator()(const TellInstance &A) const {
+    D_.Links_.send(A.To_, A.Message_);
+  }
+  void operator()(const LogDecision &A) const { D_.Log_.write(A); }
+};
+
+StoreWatchEvents FleetDaemon::storeEvents() {
+  return {.OnConfig_ =
+              [this](DecodedConfig Config) {
+                handle(ConfigRead{std::move(Config.Fleet_)});
+              },
+          .OnWorkers_ =
+              [this](std::vector<WorkerReport> Workers) {
+                handle(WorkersRead{std::move(Workers)});
+              },
+          .OnInstances_ =
+              [this](std::set<Endpoint> Known) { Links_.addEndpoints(Known); },
+          .OnReachable_ =
+              [this](bool IsReachable, std::string_view What) {
+                logLine(IsReachable ? "store_regained" : "store_lost",
+                        {{"why", std::string(What)}});
+                if (!IsReachable)
+                  handle(WorkersUnknown{});
+              },
+          .OnMalformed_ =
+              [this](std::string_view Key) {
+                logLine("row_unreadable", {{"key", std::string(Key)}});
+              }};
+}
+
+FleetDaemon::FleetDaemon(EventLoop &Loop, const PlatformSettings &Settings,
+                         const FleetDaemonOptions &Options)
+    : Loop_(Loop), Settings_(Settings),
+      State_(makeInstance(Settings, Options.Seed_)),
+      Log_(Loop, {.Instance_ = Settings.Name_}),
+      WorkerClient_(Loop, MaxIdleConnection),
+      StoreClient_(Loop, MaxIdleConnection),
+      Links_(Loop, {.Self_ = State_.Self_},
+             {.OnUp_ =
+                  [this](const InstanceInfo &Info) {
+                    handle(InstanceUp{Info});
+                  },
+              .OnDown_ = [this](Incarnation Run) { handle(InstanceDown{Run}); },
+              .OnMessage_ =
+                  [this](Incarnation From, FleetMessage Message) {
+                    handle(InstanceSaid{From, std::move(Message)});
+                  },
+              .OnRejected_ =
+                  [this](std::string_view From) {
+                    increment(State_.Counters_, Counter::PeerFramesRejected);
+                    logLine("frame_rejected", {{"from", std::string(From)}});
+                  }}),
+      Workers_(WorkerClient_, {},
+               [this](FleetEvent Event) { handle(std::move(Event)); }),
+      Store_(Loop, StoreClient_,
+             {.Store_ = Settings.Store_,
+              .Instance_ = Settings.Name_,
+              .Links_ = Settings.Links_},
+             storeEvents()),
+      Callers_(
+          Loop, listenOn(Settings.Callers_),
+          [this](HttpRequest &&R) { return onCaller(std::move(R)); },
+          [this](uint64_t Token) { handle(JobAbandoned{Token}); }),
+      Readiness_(
+          Loop, listenOn(Settings.Readiness_),
+          [this](HttpRequest &&R) { return onReadiness(R); }, nullptr) {
+  if (Options.MetricsPort_ != 0)
+    Metrics_ = std::make_unique<HttpServer>(
+        Loop, listenOn({Settings.Address_, Options.MetricsPort_}),
+        [this](HttpRequest &&) { return onMetrics(); }, nullptr);
+}
+
+tl::expected<void, ListenError> FleetDaemon::start() {
+  if (auto Opened = Links_.listen(); !Opened)
+    return Opened;
+  if (auto Opened = Callers_.listen(); !Opened)
+    return Opened;
+  if (auto Opened = Readiness_.listen(); !Opened)
+    return Opened;
+  if (Metrics_) {
+    if (auto Opened = Metrics_->listen(); !Opened)
+      return Opened;
+  }
+  logLine("start", {{"data_centre", Settings_.DataCentre_},
+                    {"run", formatHex(State_.Self_.Run_.Value_)},
+                    {"cpu_m", std::to_string(Settings_.CpuShare_)},
+                    {"lease_ms", std::to_string(Settings_.MaxLease_.Count_)}});
+  std::set<Endpoint> Seeds;
+  for (const std::string &Address : Settings_.SeedAddresses_)
+    Seeds.insert({Address, Settings_.Links_.Port_});
+  Links_.addEndpoints(Seeds);
+  handle(FleetTick{wallNow()});
+  Store_.start();
+  Tick_ = std::make_unique<Timer>(Loop_, TickInterval, Timer::Mode::Repeat,
+                                  [this] {
+                                    handle(FleetTick{wallNow()});
+                                    checkStop();
+                                  });
+  return {};
+}
+
+void FleetDaemon::handle(FleetEvent Happened) {
+  Events_.push_back(std::move(Happened));
+  if (IsHandling_)
+    return;
+  IsHandling_ = true;
+  while (!Events_.empty()) {
+    FleetEvent Next = std::move(Events_.front());
+    Events_.pop_front();
+    const FleetActions Wanted = step(State_, std::move(Next), monotonicNow());
+    for (const FleetAction &One : Wanted)
+      std::visit(FleetDaemonActions{*this}, One);
+  }
+  IsHandling_ = false;
+}
+
+void FleetDaemon::logLine(std::string_view What, std::vector<LogField> Fields) {
+  Log_.write({.What_ = What, .Fields_ = std::move(Fields)});
+}
+
+// A path is the route's prefix, and behind its last slash a job's identity.
+std::optional<HttpReply> FleetDaemon::onCaller(HttpRequest &&Request) {
+  const std::size_t Slash = Request.Path_.rfind('/');
+  if (Slash == std::string::npos)
+    return jsonReply(NotFound, "{}");
+  const std::string Path = Request.Path_.substr(0, Slash + 1);
+  const std::string Last = Request.Path_.substr(Slash + 1);
+  const std::string_view Host = hostOf(Request.Headers_);
+  if (Last.empty() && Request.Method_ == "GET") {
+    const Route *Way = findRoute(State_.Config_, Host, Path);
+    if (State_.Config_.Version_ == 0)
+      return encodeAnswer({.Outcome_ = JobOutcome::NotRun});
+    return Way == nullptr ? jsonReply(NotFound, "{}")
+                          : encodePending(pendingJobs(State_, Way->Name_));
+  }
+  const auto Id = decodeJobId(Last);
+  if (!Id)
+    return jsonReply(
+        NotFound, R"({"error":"the path must end in 16 hexadecimal digits"})");
+  if (Request.Method_ == "POST")
+    return submit(std::move(Request), Path, *Id);
+  if (Request.Method_ == "GET")
+    return encodeState(stateOf(State_, *Id));
+  if (Request.Method_ != "DELETE")
+    return jsonReply(405, R"({"error":"use POST, GET or DELETE"})");
+  const bool IsKnown = stateOf(State_, *Id) != JobState::Unknown;
+  handle(JobCancel{*Id});
+  return jsonReply(IsKnown ? 200 : 410, "{}");
+}
+
+std::optional<HttpReply> FleetDaemon::submit(HttpRequest &&Request,
+                                             std::string Path, uint64_t Id) {
+  auto Job = decodeJob(Request.Body_);
+  if (!Job) {
+    const bool IsMalformed = Job.error() == JobBodyError::Malformed;
+    Log_.write({.What_ = "answer",
+                .Job_ = Id,
+                .IsFinal_ = true,
+                .Fields_ = {{"outcome", IsMalformed ? "malformed"
+                                                    : "not_supported"}}});
+    if (IsMalformed)
+      return jsonReply(400, R"({"error":"the body is no job"})");
+    return encodeAnswer({.Outcome_ = JobOutcome::NotSupported,
+                         .RetryAfter_ = Milliseconds{5'000}});
+  }
+  Job->Token_ = Request.Token_;
+  Job->Id_ = Id;
+  Job->Host_ = hostOf(Request.Headers_);
+  Job->Path_ = std::move(Path);
+  Job->Patience_ = deadlineOf(Request.Headers_);
+  handle(std::move(*Job));
+  return std::nullopt;
+}
+
+HttpReply FleetDaemon::onReadiness(const HttpRequest &Request) const {
+  if (Request.Path_ != "/readyz")
+    return jsonReply(NotFound, "{}");
+  return jsonReply(isReady(State_) ? 200 : 503, "{}");
+}
+
+HttpReply FleetDaemon::onMetrics() const {
+  const auto Gauge = [](const std::string &Name, uint64_t Value) {
+    return "# TYPE marjorambend_" + Name + " gauge\nmarjorambend_" + Name +
+           ' ' + std::to_string(Value) + '\n';
+  };
+  return {.Status_ = 200,
+          .Headers_ = {{"Content-Type", "text/plain; version=0.0.4"}},
+          .Body_ = renderCounters(State_.Counters_) +
+                   Gauge("jobs_open", State_.Jobs_.size()) +
+                   Gauge("workers_held", State_.Holds_.size()) +
+                   Gauge("workers_viewed", State_.Placing_.Workers_.size()) +
+                   Gauge("instances_linked", State_.Members_.size()) +
+                   Gauge("configuration_version", State_.Config_.Version_) +
+                   Gauge("store_calls", Store_.calls()) +
+                   Gauge("log_lines_dropped", Log_.dropped()) +
+                   Gauge("log_lines_sampled_out", Log_.sampledOut()) +
+                   Gauge("ready", isReady(State_) ? 1 : 0)};
+}
+
+void FleetDaemon::stop() {
+  if (StopAt_)
+    return;
+  StopAt_ = monotonicNow();
+  Store_.stop();
+  handle(FleetStop{});
+}
+
+void FleetDaemon::reload(const std::string &Path) {
+  const auto Given = readSettingsFile(Path);
+  if (!Given) {
+    logLine("reload_refused", {{"why", Given.error().What_}});
+    return;
+  }
+  logLine("reload", {{"name", Given->Name_}});
+}
+
+// Not ready at once, so that new connections go elsewhere; the end when every
+// request has its answer and nothing runs on a held worker.
+void FleetDaemon::checkStop() {
+  if (!StopAt_)
+    return;
+  const Milliseconds Since = monotonicNow() - *StopAt_;
+  const bool IsDone = Since >= StopDelay && isIdle(State_) &&
+                      Callers_.openRequests() == 0;
+  if (!IsDone && Since < Settings_.StopGrace_ - StopMargin)
+    return;
+  logLine("stopped", {{"after_ms", std::to_string(Since.Count_)},
+                      {"open_requests",
+                       std::to_string(Callers_.openRequests())}});
+  Loop_.stop();
+}
+
+} // namespace marjorambend
--- /dev/null
+++ b/daemon/FleetDaemon.h
@@ -0,0 +1,69 @@
+#ifndef MARJORAMBEND_DAEMON_FLEETDAEMON_H
+#define MARJORAMBEND_DAEMON_FLEETDAEMON_H
+
+#include "PlatformSettings.h"
+#include "StoreWatch.h"
+#include "WorkerCalls.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace marjorambend {
+
+/// \brief How the daemon runs on the users' platform, beside its settings file.
+struct FleetDaemonOptions {
+  uint16_t MetricsPort_ = 0; ///< On the machine's address; 0: none.
+  uint64_t Seed_ = 0;        ///< 0 takes one from the system.
+};
+
+/// \brief The daemon on the users' platform: a shell around FleetInstance.
+class FleetDaemon {
+public:
+  FleetDaemon(EventLoop &Loop, const platform::PlatformSettings &Settings,
+              const FleetDaemonOptions &Options);
+
+  /// \brief Opens the listeners.
+  tl::expected<void, ListenError> start();
+
+  /// \brief Begins a planned stop.
+  void stop();
+
+  /// \brief Notes that the settings file has changed.
+  void reload(const std::string &Path);
+
+private:
+  friend struct FleetDaemonActions;
+
+  void handle(FleetEvent Happened);
+  std::optional<HttpReply> onCaller(HttpRequest &&Request);
+  HttpReply onReadiness(const HttpRequest &Request) const;
+  HttpReply onMetrics() const;
+  std::optional<HttpReply> submit(HttpRequest &&Request, std::string Path,
+                                  uint64_t Id);
+  void checkStop();
+  void logLine(std::string_view What, std::vector<LogField> Fields);
+  platform::StoreWatchEvents storeEvents();
+
+  EventLoop &Loop_;
+  platform::PlatformSettings Settings_;
+  FleetInstance State_;
+  DecisionLog Log_;
+  HttpClient WorkerClient_;
+  HttpClient StoreClient_;
+  SessionLinks Links_;
+  platform::WorkerCalls Workers_;
+  platform::StoreWatch Store_;
+  HttpServer Callers_;
+  HttpServer Readiness_;
+  std::unique_ptr<HttpServer> Metrics_;
+  std::deque<FleetEvent> Events_;
+  bool IsHandling_ = false;
+  std::optional<Milliseconds> StopAt_;
+  std::unique_ptr<Timer> Tick_;
+};
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_DAEMON_FLEETDAEMON_H
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -2,6 +2,7 @@
 /// \brief The daemon of an entry instance: settings, log, signals, loop.
 
 #include "Daemon.h"
+#include "FleetDaemon.h"
 
 #include <csignal>
 #include <iostream>
@@ -12,6 +13,8 @@
 
 static constexpr int ExitCannotStart = 1;
 static constexpr int ExitWrongSettings = 2;
+// Named in deploy/system.toml.
+static constexpr uint16_t MetricsPort = 9464;
 
 static void setUpLog(const SettingsT &Settings) {
   spdlog::set_default_logger(spdlog::stderr_color_st("marjorambend"));
@@ -39,7 +42,34 @@
   return Instance.exitCode();
 }
 
+// Names the platform's settings file; if it is set, the daemon runs on the
+// users' platform.
+static constexpr const char *SettingsFileVariable = "MARJORAMBEND_NODE_FILE";
+
+static int runOnPlatform(const std::string &Path) {
+  const auto Settings = platform::readSettingsFile(Path);
+  if (!Settings) {
+    std::cerr << "marjorambend: " << Settings.error().What_ << '\n';
+    return ExitWrongSettings;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  EventLoop Loop;
+  FleetDaemon Instance(Loop, *Settings, {.MetricsPort_ = MetricsPort});
+  const SignalWatch Terminate(Loop, SIGTERM, [&] { Instance.stop(); });
+  const SignalWatch Interrupt(Loop, SIGINT, [&] { Instance.stop(); });
+  const SignalWatch Hangup(Loop, SIGHUP, [&] { Instance.reload(Path); });
+  if (const auto Started = Instance.start(); !Started) {
+    std::cerr << "marjorambend: " << Started.error().What_ << '\n';
+    return ExitCannotStart;
+  }
+  Loop.run();
+  return 0;
+}
+
 int main(int Count, char **Arguments) {
+  const char *File = std::getenv(SettingsFileVariable);
+  if (File != nullptr && Count > 1 && std::string_view(Arguments[1]) == "platform")
+    return runOnPlatform(File);
   const auto Line = readSettings(Count, Arguments);
   if (!Line) {
     for (const std::string &Problem : Line.error().Problems_)
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 flatc --cpp --cpp-std c++17 --scoped-enums -o transport/generated \
-  transport/schema/peer.fbs
+  transport/schema/peer.fbs transport/schema/fleet.fbs
 flatc --cpp --cpp-std c++17 --gen-object-api --scoped-enums \
   -o transport/generated transport/schema/settings.fbs
 awk -v mode=flags -f scripts/generate-settings.awk transport/schema/settings.fbs \
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -8,4 +8,4 @@
   g++ cmake ninja-build git gawk curl clang-format clang-tidy \
   libevent-dev libevhtp-dev libssl-dev libflatbuffers-dev flatbuffers-compiler \
   libgflags-dev libspdlog-dev libexpected-dev nlohmann-json3-dev libxxhash-dev \
-  libpcg-cpp-dev libcpputest-dev librapidcheck-dev libbenchmark-dev > /dev/null
+  libpcg-cpp-dev libyaml-cpp-dev libcpputest-dev librapidcheck-dev libbenchmark-dev > /dev/null
--- a/transport/marjorambend/src/Transport/EventLoop.cpp
+++ b/transport/marjorambend/src/Transport/EventLoop.cpp
@@ -1,6 +1,6 @@
 #include "marjorambend/src/Transport/EventLoop.h"
 
-#include <chrono>
+#include <ctime>
 
 namespace marjorambend {
 namespace internal {
@@ -11,9 +11,10 @@
   Call();
 }
 
-template <typename Clock> Milliseconds nowOf() {
-  const auto Since = Clock::now().time_since_epoch();
-  return {std::chrono::duration_cast<std::chrono::milliseconds>(Since).count()};
+static Milliseconds nowOf(clockid_t Clock) {
+  timespec Time{};
+  clock_gettime(Clock, &Time);
+  return {static_cast<int64_t>(Time.tv_sec) * 1000 + Time.tv_nsec / 1'000'000};
 }
 
 } // namespace internal
@@ -41,11 +42,11 @@
 }
 SignalWatch::~SignalWatch() { event_free(Event_); }
 
-Milliseconds monotonicNow() {
-  return internal::nowOf<std::chrono::steady_clock>();
-}
+// Unlike CLOCK_MONOTONIC, this one counts the time of a suspended machine, in
+// which leases and deadlines run on elsewhere.
+Milliseconds monotonicNow() { return internal::nowOf(CLOCK_BOOTTIME); }
 
-Milliseconds wallNow() { return internal::nowOf<std::chrono::system_clock>(); }
+Milliseconds wallNow() { return internal::nowOf(CLOCK_REALTIME); }
 
 timeval toTimeval(Milliseconds Time) {
   return {.tv_sec = static_cast<time_t>(Time.Count_ / 1000),
--- /dev/null
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -0,0 +1,318 @@
+#include "marjorambend/src/Transport/FleetCodec.h"
+
+#include "fleet_generated.h"
+
+#include <string_view>
+
+namespace marjorambend {
+namespace internal {
+
+using flatbuffers::FlatBufferBuilder;
+
+struct FleetBody {
+  fleetwire::Body Type_;
+  flatbuffers::Offset<void> Offset_;
+};
+
+static fleetwire::Room toWire(const Room &Given) {
+  return {Given.MilliCores_, Given.MemoryMb_, Given.Accelerators_};
+}
+static fleetwire::Run toWire(const RunId &Given) {
+  return {Given.Job_, Given.Task_, Given.Attempt_};
+}
+static Room fromWire(const fleetwire::Room *Given) {
+  if (Given == nullptr)
+    return {};
+  return {Given->milli_cores(), Given->memory_mb(), Given->accelerators()};
+}
+static RunId fromWire(const fleetwire::Run *Given) {
+  if (Given == nullptr)
+    return {};
+  return {Given->job(), Given->task(), Given->attempt()};
+}
+static std::string fromWire(const flatbuffers::String *Given) {
+  return Given == nullptr ? std::string() : Given->str();
+}
+
+struct FleetEncoder {
+  FlatBufferBuilder &B_;
+
+  auto text(const std::string &Given) const { return B_.CreateString(Given); }
+
+  FleetBody operator()(const SessionHello &M) const {
+    const auto Name = text(M.Info_.Name_);
+    const auto DataCentre = text(M.Info_.DataCentre_);
+    const auto Address = text(M.Info_.Address_);
+    return {fleetwire::Body::Hello,
+            fleetwire::CreateHello(B_, M.Info_.Run_.Value_, Name, DataCentre,
+                                   M.Info_.CpuShare_, Address, M.Info_.Port_,
+                                   M.Nonce_, M.PeerNonce_, M.Received_)
+                .Union()};
+  }
+  FleetBody operator()(const InstanceStatus &M) const {
+    return {fleetwire::Body::Status,
+            fleetwire::CreateStatus(B_, M.IsReady_, M.IsStopping_).Union()};
+  }
+  FleetBody operator()(const WorkersHeld &M) const {
+    std::vector<flatbuffers::Offset<fleetwire::Worker>> Workers;
+    for (const HeldWorker &One : M.Workers_) {
+      const WorkerReport &R = One.Report_;
+      const auto Id = text(R.Id_);
+      const auto Service = text(R.Service_);
+      const auto Address = text(R.Address_);
+      const auto DataCentre = text(R.DataCentre_);
+      const auto Labels = B_.CreateVectorOfStrings(R.Labels_);
+      const fleetwire::Room Capacity = toWire(R.Capacity_);
+      Workers.push_back(fleetwire::CreateWorker(
+          B_, Id, Service, Address, R.Port_, DataCentre, Labels, &Capacity,
+          R.IsDraining_, R.Life_, One.IsOpen_, One.Slowness_));
+    }
+    const auto All = B_.CreateVector(Workers);
+    return {fleetwire::Body::WorkersHeld,
+            fleetwire::CreateWorkersHeld(B_, All).Union()};
+  }
+  FleetBody operator()(const WorkersDropped &M) const {
+    const auto Ids = B_.CreateVectorOfStrings(M.Ids_);
+    return {fleetwire::Body::WorkersDropped,
+            fleetwire::CreateWorkersDropped(B_, Ids).Union()};
+  }
+  FleetBody operator()(const PlaceRequest &M) const {
+    const auto Route = text(M.Route_);
+    const auto Service = text(M.Service_);
+    const auto Tasks = B_.CreateVector(M.Tasks_);
+    const fleetwire::Room Needs = toWire(M.Needs_);
+    const auto Label = text(M.Label_);
+    const auto Rack = text(M.DataRack_);
+    return {fleetwire::Body::PlaceRequest,
+            fleetwire::CreatePlaceRequest(
+                B_, M.Job_, M.Id_, Route, Service, Tasks, &Needs,
+                M.Estimate_.Count_, M.Priority_, M.ObjectiveIn_.Count_,
+                M.GiveUpIn_.Count_, Label, Rack, M.MaxPerWorker_)
+                .Union()};
+  }
+  FleetBody operator()(const PlaceWithdraw &M) const {
+    return {fleetwire::Body::PlaceWithdraw,
+            fleetwire::CreatePlaceWithdraw(B_, M.Job_).Union()};
+  }
+  FleetBody operator()(const PlaceRelease &M) const {
+    return {fleetwire::Body::PlaceRelease,
+            fleetwire::CreatePlaceRelease(B_, M.Job_, M.Task_,
+                                          static_cast<uint8_t>(M.End_))
+                .Union()};
+  }
+  FleetBody operator()(const PlaceAdopt &M) const {
+    const auto Worker = text(M.Worker_);
+    const fleetwire::Room Needs = toWire(M.Needs_);
+    return {fleetwire::Body::PlaceAdopt,
+            fleetwire::CreatePlaceAdopt(B_, M.Job_, M.Task_, Worker, &Needs)
+                .Union()};
+  }
+  FleetBody operator()(const Placed &M) const {
+    std::vector<flatbuffers::Offset<fleetwire::Placement>> Tasks;
+    for (const Placement &One : M.Tasks_)
+      Tasks.push_back(fleetwire::CreatePlacement(
+          B_, One.Task_, text(One.Worker_), One.Holder_.Value_));
+    const auto All = B_.CreateVector(Tasks);
+    return {fleetwire::Body::Placed,
+            fleetwire::CreatePlaced(B_, M.Job_, All).Union()};
+  }
+  FleetBody operator()(const PlaceRefused &M) const {
+    return {fleetwire::Body::PlaceRefused,
+            fleetwire::CreatePlaceRefused(B_, M.Job_, M.RetryAfter_.Count_)
+                .Union()};
+  }
+  FleetBody operator()(const StartOrder &M) const {
+    const auto Worker = text(M.Worker_);
+    const auto Spec = text(M.Spec_);
+    const fleetwire::Run Run = toWire(M.Run_);
+    const fleetwire::Room Needs = toWire(M.Needs_);
+    return {fleetwire::Body::StartOrder,
+            fleetwire::CreateStartOrder(B_, M.Job_, &Run, Worker, &Needs,
+                                        M.Estimate_.Count_, Spec)
+                .Union()};
+  }
+  FleetBody operator()(const StopOrder &M) const {
+    const auto Worker = text(M.Worker_);
+    const fleetwire::Run Run = toWire(M.Run_);
+    return {fleetwire::Body::StopOrder,
+            fleetwire::CreateStopOrder(B_, &Run, Worker).Union()};
+  }
+  FleetBody operator()(const RunEnded &M) const {
+    const auto Worker = text(M.Worker_);
+    const fleetwire::Run Run = toWire(M.Run_);
+    return {fleetwire::Body::RunEnded,
+            fleetwire::CreateRunEnded(B_, M.Job_, &Run, Worker,
+                                      static_cast<uint8_t>(M.End_),
+                                      M.Ran_.Count_)
+                .Union()};
+  }
+  FleetBody operator()(const FleetMessage &M) const {
+    return std::visit(*this, M);
+  }
+};
+
+static RunEnd toEnd(uint8_t Value) {
+  return Value <= static_cast<uint8_t>(RunEnd::Superseded)
+             ? static_cast<RunEnd>(Value)
+             : RunEnd::Lost;
+}
+
+static std::vector<std::string>
+toTexts(const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>
+            *Given) {
+  std::vector<std::string> Texts;
+  if (Given == nullptr)
+    return Texts;
+  for (const auto *One : *Given)
+    Texts.push_back(One->str());
+  return Texts;
+}
+
+static HeldWorker toWorker(const fleetwire::Worker &W) {
+  return {.Report_ = {.Id_ = fromWire(W.id()),
+                      .Service_ = fromWire(W.service()),
+                      .Address_ = fromWire(W.address()),
+                      .Port_ = W.port(),
+                      .DataCentre_ = fromWire(W.data_centre()),
+                      .Labels_ = toTexts(W.labels()),
+                      .Capacity_ = fromWire(W.capacity()),
+                      .IsDraining_ = W.is_draining(),
+                      .Life_ = W.life()},
+          .IsOpen_ = W.is_open(),
+          .Slowness_ = W.slowness()};
+}
+
+static SessionHello toHello(const fleetwire::Hello &M) {
+  return {.Info_ = {.Run_ = {M.run()},
+                    .Name_ = fromWire(M.name()),
+                    .DataCentre_ = fromWire(M.data_centre()),
+                    .CpuShare_ = M.cpu_share(),
+                    .Address_ = fromWire(M.address()),
+                    .Port_ = M.port()},
+          .Nonce_ = M.nonce(),
+          .PeerNonce_ = M.peer_nonce(),
+          .Received_ = M.received()};
+}
+
+static PlaceRequest toRequest(const fleetwire::PlaceRequest &M) {
+  PlaceRequest Given{.Job_ = M.job(),
+                     .Id_ = M.id(),
+                     .Route_ = fromWire(M.route()),
+                     .Service_ = fromWire(M.service()),
+                     .Needs_ = fromWire(M.needs()),
+                     .Estimate_ = {M.estimate_ms()},
+                     .Priority_ = M.priority(),
+                     .ObjectiveIn_ = {M.objective_in_ms()},
+                     .GiveUpIn_ = {M.give_up_in_ms()},
+                     .Label_ = fromWire(M.label()),
+                     .DataRack_ = fromWire(M.data_rack()),
+                     .MaxPerWorker_ = M.max_per_worker()};
+  if (M.tasks() != nullptr)
+    Given.Tasks_.assign(M.tasks()->begin(), M.tasks()->end());
+  return Given;
+}
+
+static Placed toPlaced(const fleetwire::Placed &M) {
+  Placed Given{.Job_ = M.job()};
+  if (M.tasks() == nullptr)
+    return Given;
+  for (const auto *One : *M.tasks())
+    Given.Tasks_.push_back(
+        {One->task(), fromWire(One->worker()), {One->holder()}});
+  return Given;
+}
+
+static WorkersHeld toHeld(const fleetwire::WorkersHeld &M) {
+  WorkersHeld Given;
+  if (M.workers() == nullptr)
+    return Given;
+  for (const auto *One : *M.workers())
+    Given.Workers_.push_back(toWorker(*One));
+  return Given;
+}
+
+static std::optional<std::variant<SessionHello, FleetMessage>>
+toBody(const fleetwire::Frame &Frame) {
+  switch (Frame.body_type()) {
+  case fleetwire::Body::Hello:
+    return toHello(*Frame.body_as_Hello());
+  case fleetwire::Body::Status: {
+    const auto &M = *Frame.body_as_Status();
+    return InstanceStatus{M.is_ready(), M.is_stopping()};
+  }
+  case fleetwire::Body::WorkersHeld:
+    return toHeld(*Frame.body_as_WorkersHeld());
+  case fleetwire::Body::WorkersDropped:
+    return WorkersDropped{toTexts(Frame.body_as_WorkersDropped()->ids())};
+  case fleetwire::Body::PlaceRequest:
+    return toRequest(*Frame.body_as_PlaceRequest());
+  case fleetwire::Body::PlaceWithdraw:
+    return PlaceWithdraw{Frame.body_as_PlaceWithdraw()->job()};
+  case fleetwire::Body::PlaceRelease: {
+    const auto &M = *Frame.body_as_PlaceRelease();
+    return PlaceRelease{M.job(), M.task(), toEnd(M.end())};
+  }
+  case fleetwire::Body::PlaceAdopt: {
+    const auto &M = *Frame.body_as_PlaceAdopt();
+    return PlaceAdopt{M.job(), M.task(), fromWire(M.worker()),
+                      fromWire(M.needs())};
+  }
+  case fleetwire::Body::Placed:
+    return toPlaced(*Frame.body_as_Placed());
+  case fleetwire::Body::PlaceRefused: {
+    const auto &M = *Frame.body_as_PlaceRefused();
+    return PlaceRefused{M.job(), {M.retry_after_ms()}};
+  }
+  case fleetwire::Body::StartOrder: {
+    const auto &M = *Frame.body_as_StartOrder();
+    return StartOrder{.Job_ = M.job(),
+                      .Run_ = fromWire(M.run()),
+                      .Worker_ = fromWire(M.worker()),
+                      .Needs_ = fromWire(M.needs()),
+                      .Estimate_ = {M.estimate_ms()},
+                      .Spec_ = fromWire(M.spec())};
+  }
+  case fleetwire::Body::StopOrder: {
+    const auto &M = *Frame.body_as_StopOrder();
+    return StopOrder{fromWire(M.run()), fromWire(M.worker())};
+  }
+  case fleetwire::Body::RunEnded: {
+    const auto &M = *Frame.body_as_RunEnded();
+    return RunEnded{.Job_ = M.job(),
+                    .Run_ = fromWire(M.run()),
+                    .Worker_ = fromWire(M.worker()),
+                    .End_ = toEnd(M.end()),
+                    .Ran_ = {M.ran_ms()}};
+  }
+  case fleetwire::Body::NONE:
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+} // namespace internal
+
+std::string encodeFrame(const SessionFrame &Frame) {
+  flatbuffers::FlatBufferBuilder Builder(512);
+  const internal::FleetEncoder Encoder{Builder};
+  const internal::FleetBody Body = std::visit(Encoder, Frame.Body_);
+  Builder.FinishSizePrefixed(fleetwire::CreateFrame(
+      Builder, Frame.Sequence_, Frame.Received_, Body.Type_, Body.Offset_));
+  return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+          Builder.GetSize()};
+}
+
+std::optional<SessionFrame> decodeFrame(std::span<const uint8_t> Content) {
+  flatbuffers::Verifier Verifier(Content.data(), Content.size());
+  if (!fleetwire::VerifyFrameBuffer(Verifier))
+    return std::nullopt;
+  const fleetwire::Frame &Frame = *fleetwire::GetFrame(Content.data());
+  auto Body = internal::toBody(Frame);
+  if (!Body)
+    return std::nullopt;
+  return SessionFrame{.Sequence_ = Frame.sequence(),
+                      .Received_ = Frame.received(),
+                      .Body_ = std::move(*Body)};
+}
+
+} // namespace marjorambend
--- a/transport/marjorambend/src/Transport/PeerLinks.cpp
+++ b/transport/marjorambend/src/Transport/PeerLinks.cpp
@@ -1,12 +1,10 @@
 #include "marjorambend/src/Transport/PeerLinks.h"
 
-#include <arpa/inet.h>
+#include "marjorambend/src/Transport/Sockets.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace marjorambend {
 
@@ -46,22 +44,6 @@
   }
 };
 
-static std::optional<sockaddr_in> toSocketAddress(const Endpoint &To) {
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(To.Port_);
-  if (inet_pton(AF_INET, To.Address_.c_str(), &Address.sin_addr) != 1)
-    return std::nullopt;
-  return Address;
-}
-
-static void tuneSocket(int Socket) {
-  const int On = 1;
-  setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &LinkUserTimeoutMs,
-             sizeof(LinkUserTimeoutMs));
-}
-
 static std::span<const uint8_t> asBytes(const std::vector<uint8_t> &Content) {
   return {Content.data(), Content.size()};
 }
@@ -206,7 +188,7 @@
   From.Peer_ = Hello;
   From.Sending_.Nonce_ = Hello.Nonce_;
   From.Receiving_.Nonce_ = From.Nonce_;
-  tuneSocket(bufferevent_getfd(From.Buffer_));
+  tuneSocket(bufferevent_getfd(From.Buffer_), LinkUserTimeoutMs);
   const auto Found = ByRun_.find(Hello.Run_);
   if (Found == ByRun_.end()) {
     ByRun_[Hello.Run_] = &From;
--- /dev/null
+++ b/transport/marjorambend/src/Transport/Session.cpp
@@ -0,0 +1,41 @@
+#include "marjorambend/src/Transport/Session.h"
+
+namespace marjorambend {
+
+HelloResult takeHello(Session &State, const SessionHello &Hello) {
+  State.Peer_ = Hello.Info_;
+  if (State.PeerNonce_ == 0) {
+    if (Hello.PeerNonce_ != 0 && Hello.PeerNonce_ != State.Nonce_)
+      return HelloResult::Ignored;
+    State.PeerNonce_ = Hello.Nonce_;
+    return HelloResult::Established;
+  }
+  if (Hello.Nonce_ != State.PeerNonce_)
+    return HelloResult::Ended;
+  if (Hello.PeerNonce_ != 0 && Hello.PeerNonce_ != State.Nonce_)
+    return HelloResult::Ended;
+  confirmThrough(State, Hello.Received_);
+  return HelloResult::Resumed;
+}
+
+SessionHello helloFor(const Session &State, const InstanceInfo &Self) {
+  return {.Info_ = Self,
+          .Nonce_ = State.Nonce_,
+          .PeerNonce_ = State.PeerNonce_,
+          .Received_ = State.Received_};
+}
+
+void confirmThrough(Session &State, uint64_t Received) {
+  while (!State.Unconfirmed_.empty() &&
+         State.Unconfirmed_.front().first <= Received)
+    State.Unconfirmed_.pop_front();
+}
+
+bool isNext(Session &State, uint64_t Sequence) {
+  if (Sequence != State.Received_ + 1)
+    return false;
+  ++State.Received_;
+  return true;
+}
+
+} // namespace marjorambend
--- /dev/null
+++ b/transport/marjorambend/src/Transport/Session.h
@@ -0,0 +1,50 @@
+#ifndef MARJORAMBEND_TRANSPORT_SESSION_H
+#define MARJORAMBEND_TRANSPORT_SESSION_H
+
+#include "marjorambend/src/Support/Milliseconds.h"
+#include "marjorambend/src/Transport/FleetCodec.h"
+
+#include <cstdint>
+#include <deque>
+#include <utility>
+
+namespace marjorambend {
+
+/// \brief A conversation with one run of another instance.
+///
+/// It outlives its connections: what the other side has not received is sent
+/// again on the next one, so that every message arrives once and in order, or
+/// the session ends on both sides.
+struct Session {
+  InstanceInfo Peer_;
+  uint64_t Nonce_ = 0;     ///< Our number of it.
+  uint64_t PeerNonce_ = 0; ///< The peer's number; 0 until it is established.
+  uint64_t Sent_ = 0;      ///< Sequence of the last message sent.
+  uint64_t Received_ = 0;  ///< Sequence of the last message received.
+  std::deque<std::pair<uint64_t, FleetMessage>> Unconfirmed_;
+  Milliseconds HeardAt_;
+};
+
+/// \brief What a hello makes of a session.
+enum class HelloResult : uint8_t {
+  Established, ///< It has begun.
+  Resumed,     ///< It goes on; unconfirmed messages are to be sent again.
+  Ended,       ///< The peer has forgotten it; it is to be begun anew.
+  Ignored      ///< The hello belongs to an earlier session.
+};
+
+/// \brief Takes the peer's hello.
+HelloResult takeHello(Session &State, const SessionHello &Hello);
+
+/// \brief Our hello for \p State.
+SessionHello helloFor(const Session &State, const InstanceInfo &Self);
+
+/// \brief Forgets messages that the peer has received.
+void confirmThrough(Session &State, uint64_t Received);
+
+/// \brief Whether a received message is the next one; it is counted if so.
+bool isNext(Session &State, uint64_t Sequence);
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_TRANSPORT_SESSION_H
