--- a/transport/marjorambend/src/Transport/FleetCodec.cpp
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet_generated.h"
 
+#include <cstring>
 #include <string_view>
 
 namespace marjorambend {
@@ -296,10 +297,15 @@
   flatbuffers::FlatBufferBuilder Builder(512);
   const internal::FleetEncoder Encoder{Builder};
   const internal::FleetBody Body = std::visit(Encoder, Frame.Body_);
-  Builder.FinishSizePrefixed(fleetwire::CreateFrame(
-      Builder, Frame.Sequence_, Frame.Received_, Body.Type_, Body.Offset_));
-  return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
-          Builder.GetSize()};
+  fleetwire::FinishFrameBuffer(
+      Builder, fleetwire::CreateFrame(Builder, Frame.Sequence_, Frame.Received_,
+                                      Body.Type_, Body.Offset_));
+  const uint32_t Length = Builder.GetSize();
+  std::string Bytes(sizeof(Length) + Length, '\0');
+  std::memcpy(Bytes.data(), &Length, sizeof(Length));
+  std::memcpy(Bytes.data() + sizeof(Length), Builder.GetBufferPointer(),
+              Length);
+  return Bytes;
 }
 
 std::optional<SessionFrame> decodeFrame(std::span<const uint8_t> Content) {
--- a/transport/marjorambend/src/Transport/FleetCodec.h
+++ b/transport/marjorambend/src/Transport/FleetCodec.h
@@ -29,7 +29,8 @@
 /// \brief The frame's bytes, with their length before them.
 std::string encodeFrame(const SessionFrame &Frame);
 
-/// \brief Reads a frame's content, without its length.
+/// \brief Reads a frame's content, without its length; it is to be aligned to
+/// eight bytes.
 ///
 /// \returns nothing if the content is no valid frame.
 std::optional<SessionFrame> decodeFrame(std::span<const uint8_t> Content);
--- a/transport/marjorambend/src/Transport/SessionLinks.cpp
+++ b/transport/marjorambend/src/Transport/SessionLinks.cpp
@@ -164,10 +164,11 @@
       return;
     std::optional<SessionFrame> Frame;
     if (!IsTooLarge) {
-      const uint8_t *Whole = evbuffer_pullup(
-          Input, static_cast<ev_ssize_t>(LengthBytes + Length));
-      Frame = decodeFrame({Whole + LengthBytes, Length});
-      evbuffer_drain(Input, LengthBytes + Length);
+      evbuffer_drain(Input, LengthBytes);
+      // A copy is aligned; the connection's buffer need not be.
+      std::vector<uint8_t> Content(Length);
+      evbuffer_remove(Input, Content.data(), Length);
+      Frame = decodeFrame(Content);
     }
     if (!Frame) {
       Events_.OnRejected_(From.Run_ ? "instance" : "stranger");
