Bound a job by its caller's deadline alone

Cause: a route's timeout of 1,500 ms cut jobs whose tasks run that long; of the largest tenth of liquidacion a third was served. The protocol gives callers' waiting time in Deadline-Ms.

--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -142,13 +142,10 @@
   return true;
 }
 
-static Milliseconds giveUpTime(const JobSubmission &Given, const Route &Way,
-                               Milliseconds Now) {
+static Milliseconds giveUpTime(const JobSubmission &Given, Milliseconds Now) {
   Milliseconds Patience = NoPatienceKnown;
   if (Given.Patience_.Count_ > 0)
     Patience = std::min(Patience, Given.Patience_);
-  if (Way.Timeout_.Count_ > 0)
-    Patience = std::min(Patience, Way.Timeout_);
   return Now + Patience;
 }
 
@@ -177,7 +174,7 @@
   Job.Number_ = Number;
   Job.Route_ = *Way;
   Job.ArrivedAt_ = T.Now_;
-  Job.GiveUpAt_ = giveUpTime(Given, *Way, T.Now_);
+  Job.GiveUpAt_ = giveUpTime(Given, T.Now_);
   const auto Ideal = static_cast<int64_t>(
       static_cast<double>(Given.Estimate_.Count_) * Way->StretchFactor_);
   Job.ObjectiveAt_ = T.Now_ + Milliseconds{Ideal} + Way->TargetLatency_;
