Keep a connection's time-out from closing it between calls

Cause: evhttp sets a connection's time-outs only as it connects, so that a pooled connection was closed 250 ms after its last call. Ruled out: workers closing (none answered Connection: close).

--- a/transport/marjorambend/src/Transport/HttpClient.cpp
+++ b/transport/marjorambend/src/Transport/HttpClient.cpp
@@ -106,6 +106,16 @@
   emptyTrash();
 }
 
+// evhttp sets the times of a connection only as it connects; a kept one would
+// otherwise be closed after the time-out of the call before.
+static void setTimeouts(evhttp_connection *Connection, Milliseconds Time) {
+  const timeval Bound = toTimeval(Time);
+  evhttp_connection_set_timeout_tv(Connection, &Bound);
+  bufferevent *Buffer = evhttp_connection_get_bufferevent(Connection);
+  if (bufferevent_getfd(Buffer) >= 0)
+    bufferevent_set_timeouts(Buffer, &Bound, &Bound);
+}
+
 evhttp_connection *HttpClient::takeConnection(const Endpoint &To) {
   std::deque<Idle> &Queue = Idle_[To];
   const Milliseconds Now = monotonicNow();
@@ -135,8 +145,7 @@
   New.To_ = Call.To_;
   New.OnResult_ = std::move(OnResult);
   New.Connection_ = takeConnection(Call.To_);
-  const timeval Timeout = toTimeval(Call.Timeout_);
-  evhttp_connection_set_timeout_tv(New.Connection_, &Timeout);
+  setTimeouts(New.Connection_, Call.Timeout_);
 
   New.Request_ = evhttp_request_new(HttpClientHooks::onDone, &New);
   evhttp_request_set_error_cb(New.Request_, HttpClientHooks::onError);
@@ -181,10 +190,12 @@
 
 void HttpClient::finish(Pending &Done, HttpResult Result, bool IsReusable) {
   const Handler OnResult = std::move(Done.OnResult_);
-  if (IsReusable)
+  if (IsReusable) {
+    setTimeouts(Done.Connection_, MaxIdle_);
     Idle_[Done.To_].push_back({Done.Connection_, monotonicNow()});
-  else
+  } else {
     discard(Done.Connection_);
+  }
   Pending_.erase(Done.Number_);
   OnResult(std::move(Result));
 }
