--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -218,6 +218,7 @@
   void operator()(const WorkerListed &E) const { takeLists(T_, E); }
   void operator()(const FleetStop &) const {
     T_.State_.IsStopping_ = true;
+    T_.State_.StoppingSince_ = T_.Now_;
     T_.State_.NextBeat_ = T_.Now_;
     log(T_, "stopping", 0,
         {{"jobs", std::to_string(T_.State_.Jobs_.size())},
@@ -226,6 +227,9 @@
     choosePlacer(T_);
     chooseHolds(T_);
   }
+  void operator()(const FleetStopForced &) const {
+    giveUpAllJobs(T_, "the instance stops");
+  }
 };
 
 static void handleOwnMessages(FleetTurn &T) {
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -41,6 +41,7 @@
   Milliseconds WallClock_;
   Milliseconds NextBeat_;
   bool IsStopping_ = false;
+  Milliseconds StoppingSince_;
 
   FleetConfig Config_; ///< Version 0: none yet.
   std::map<std::string, WorkerReport> Listed_;
--- a/coordination/marjorambend/src/Fleet/FleetEvents.h
+++ b/coordination/marjorambend/src/Fleet/FleetEvents.h
@@ -115,12 +115,15 @@
 /// \brief The process is to stop on plan.
 struct FleetStop {};
 
+/// \brief The time for a planned stop is over; what is left gets its answer.
+struct FleetStopForced {};
+
 /// \brief Everything that can happen to an instance of the fleet.
 using FleetEvent =
     std::variant<FleetTick, ConfigRead, WorkersRead, WorkersUnknown,
                  JobSubmission, JobAbandoned, JobCancel, InstanceUp,
                  InstanceDown, InstanceSaid, StartAnswered, StopAnswered,
-                 WorkerListed, FleetStop>;
+                 WorkerListed, FleetStop, FleetStopForced>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -66,6 +66,10 @@
   Milliseconds PlacerSilence_{300};
   /// A larger gap between two ticks is a pause: others have given us up.
   Milliseconds PauseBound_{600};
+  /// Time after the order to stop in which jobs are still taken: until the
+  /// platform sends new connections elsewhere, after two failed checks a second
+  /// apart.
+  Milliseconds StopTaking_{2'500};
   /// Time after an outage of the platform's list in which workers that it
   /// lacks are kept; the platform restores entries within about two seconds.
   Milliseconds ListSettle_{2'500};
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -157,6 +157,14 @@
                  State.Options_.Placer_.LeastRetryAfter_);
     return;
   }
+  const bool IsClosed =
+      State.IsStopping_ &&
+      T.Now_ - State.StoppingSince_ >= State.Options_.StopTaking_;
+  if (IsClosed) {
+    refuseAtOnce(T, Given, JobOutcome::NotRun, "the instance stops",
+                 State.Options_.Placer_.LeastRetryAfter_);
+    return;
+  }
   const Route *Way = findRoute(State.Config_, Given.Host_, Given.Path_);
   if (Way == nullptr) {
     refuseAtOnce(T, Given, JobOutcome::NoSuchRoute, "no such route");
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -9,11 +9,9 @@
 static constexpr Milliseconds TickInterval{20};
 // Connections to workers and the store carry a call every second or so.
 static constexpr Milliseconds MaxIdleConnection{30'000};
-// The platform sends new connections elsewhere after two failed checks, a
-// second apart.
-static constexpr Milliseconds StopDelay{2'500};
-// Left of the grace for the last bytes and the exit.
-static constexpr Milliseconds StopMargin{500};
+// Left of the grace for the last answers and the exit.
+static constexpr Milliseconds StopMargin{700};
+static constexpr Milliseconds LastBytes{200};
 static constexpr uint16_t NotFound = 404;
 
 static uint64_t seedFrom(uint64_t Given) {
@@ -257,6 +255,7 @@
     return;
   StopAt_ = monotonicNow();
   Store_.stop();
+  Callers_.closeAfterAnswers();
   handle(FleetStop{});
 }
 
@@ -275,9 +274,16 @@
   if (!StopAt_)
     return;
   const Milliseconds Since = monotonicNow() - *StopAt_;
-  const bool IsDone = Since >= StopDelay && isIdle(State_) &&
+  const Milliseconds Bound = Settings_.StopGrace_ - StopMargin;
+  const bool IsDone = Since >= State_.Options_.StopTaking_ && isIdle(State_) &&
                       Callers_.openRequests() == 0;
-  if (!IsDone && Since < Settings_.StopGrace_ - StopMargin)
+  if (!IsDone && Since < Bound)
+    return;
+  if (!IsDone && !IsForced_) {
+    IsForced_ = true;
+    handle(FleetStopForced{});
+  }
+  if (!IsDone && Since < Bound + LastBytes)
     return;
   logLine("stopped", {{"after_ms", std::to_string(Since.Count_)},
                       {"open_requests",
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -71,6 +71,9 @@
   /// \brief Answers a request; nothing happens if its sender is gone.
   void reply(uint64_t Token, const HttpReply &Reply);
 
+  /// \brief Closes each connection after its next answer.
+  void closeAfterAnswers() { IsClosing_ = true; }
+
   /// \brief Accepts no further connection, and closes each after its answer.
   void stopAccepting();
 
