--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -119,21 +119,29 @@
   tellIfChanged(T, Hold);
 }
 
-void endLife(FleetTurn &T, WorkerHold &Hold) {
+// What was learnt of the old life does not hold for the next one. It has seen
+// no token, and its clock begins anew: an order to the old life that arrives
+// late would pass but for a higher token.
+static void forgetLife(FleetTurn &T, WorkerHold &Hold) {
   log(T, "worker_life_over", 0,
       {{"worker", Hold.Report_.Id_},
        {"life", std::to_string(Hold.Report_.Life_)},
        {"runs", std::to_string(Hold.Runs_.size())}});
-  finishAllRuns(T, Hold, RunEnd::Lost);
   Hold.Phase_ = HoldPhase::Claiming;
+  Hold.Fence_ = std::max(Hold.Fence_ + 1, freshFence(T.State_));
   Hold.ClockOffset_.reset();
   Hold.AckedThrough_ = 0;
   Hold.Slowness_ = 1.0;
   Hold.BadInRow_ = 0;
-  Hold.NextLookAt_ = T.Now_ + T.State_.Options_.Holder_.RetryPause_;
   tellIfChanged(T, Hold);
 }
 
+void endLife(FleetTurn &T, WorkerHold &Hold) {
+  finishAllRuns(T, Hold, RunEnd::Lost);
+  forgetLife(T, Hold);
+  Hold.NextLookAt_ = T.Now_ + T.State_.Options_.Holder_.RetryPause_;
+}
+
 static void noteFailedLook(FleetTurn &T, WorkerHold &Hold) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
   ++Hold.FailedLooks_;
@@ -176,8 +184,10 @@
     return;
   Hold.FailedLooks_ = 0;
   if (Listed.Life_ != 0 && Listed.Life_ != Hold.Report_.Life_) {
+    // Runs that were started before the new life was noticed may be in it;
+    // the lists say which of them are.
     if (Hold.Report_.Life_ != 0)
-      endLife(T, Hold);
+      forgetLife(T, Hold);
     Hold.Report_.Life_ = Listed.Life_;
   }
   if (Hold.Phase_ == HoldPhase::Suspect)
@@ -252,16 +262,18 @@
   for (auto &[Id, Hold] : State.Holds_) {
     const auto Found = State.Listed_.find(Id);
     Hold.IsListed_ = Found != State.Listed_.end();
-    if (!Hold.IsListed_ || Found->second == Hold.Report_) {
+    WorkerReport Known = Hold.Report_;
+    if (Hold.IsListed_)
+      Known.Life_ = Found->second.Life_;
+    if (!Hold.IsListed_ || Found->second == Known) {
       tellIfChanged(T, Hold);
       continue;
     }
     const bool WasDraining = Hold.Report_.IsDraining_;
+    // A new life is believed only when the worker itself lists its runs.
     const int64_t Life = Hold.Report_.Life_;
-    if (Life != 0 && Found->second.Life_ > Life)
-      endLife(T, Hold);
     Hold.Report_ = Found->second;
-    Hold.Report_.Life_ = std::max(Life, Found->second.Life_);
+    Hold.Report_.Life_ = Life;
     if (Hold.Report_.IsDraining_ != WasDraining)
       log(T, "worker_draining", 0,
           {{"worker", Id},
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -129,7 +129,8 @@
 }
 
 // Others gave this instance up while it stood still, and may have taken its
-// workers and jobs.
+// workers and jobs. Whatever event comes first must not act on what was
+// believed before.
 static void notePause(FleetTurn &T) {
   FleetInstance &State = T.State_;
   const Milliseconds Gap = T.Now_ - State.LastTick_;
@@ -137,12 +138,12 @@
     return;
   increment(State.Counters_, Counter::PausesDetected);
   log(T, "pause", 0, {{"gap_ms", text(Gap)}});
+  State.LastTick_ = T.Now_;
   giveUpAllJobs(T, "pause");
 }
 
 static void tick(FleetTurn &T, const FleetTick &Given) {
   FleetInstance &State = T.State_;
-  notePause(T);
   if (!State.HasTicked_)
     State.StartedAt_ = T.Now_;
   State.HasTicked_ = true;
@@ -257,6 +258,7 @@
 FleetActions step(FleetInstance &State, FleetEvent Happened, Milliseconds Now) {
   FleetActions Out;
   internal::FleetTurn T{State, Now, Out, {}};
+  internal::notePause(T);
   std::visit(internal::FleetEventHandler{T}, Happened);
   internal::handleOwnMessages(T);
   while (State.Placing_.IsDirty_) {
--- /dev/null
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -0,0 +1,80 @@
+#include "TestMain.h"
+
+#include "Simulation/FleetWorld.h"
+
+using namespace marjorambend;
+using namespace marjorambend::test;
+
+static std::string join(const std::vector<std::string> &Lines) {
+  std::string Text;
+  for (const std::string &Line : Lines)
+    Text += Line + '\n';
+  return Text;
+}
+
+static FleetWorldOptions smallWorld(uint64_t Seed) {
+  FleetWorldOptions Options{.Seed_ = Seed,
+                            .InstancesEach_ = 2,
+                            .WorkersEach_ = 5,
+                            .Kinds_ = agenciaKinds(0.3),
+                            .LoadUntil_ = {6'000},
+                            .Length_ = {18'000}};
+  return Options;
+}
+
+static FleetWorldOptions anyFaults(uint64_t Seed) {
+  FleetWorldOptions Options = smallWorld(Seed);
+  Random Generator(Seed ^ 0x9E3779B97F4A7C15ULL);
+  const auto Some = [&Generator](uint64_t Most) {
+    return static_cast<uint32_t>(uniformBelow(Generator, Most + 1));
+  };
+  Options.Kills_ = Some(3);
+  Options.PowerLosses_ = Some(2);
+  Options.Freezes_ = Some(3);
+  Options.Stops_ = Some(2);
+  Options.Cuts_ = Some(3);
+  Options.WorkerCuts_ = Some(4);
+  Options.WorkerCrashes_ = Some(3);
+  Options.Drains_ = Some(2);
+  Options.ListOutages_ = Some(1);
+  Options.ApplyLate_ = 0.03 * Some(3);
+  Options.LoseAnswer_ = 0.02 * Some(2);
+  Options.FailRun_ = 0.01 * Some(3);
+  Options.LeaveEarly_ = 0.1 * Some(3);
+  return Options;
+}
+
+TEST_GROUP(FleetPromises_){};
+
+TEST(FleetPromises_, ACalmFleetServesEveryJob) {
+  FleetWorldOptions Options = smallWorld(baseSeed());
+  Options.FailRun_ = 0;
+  const FleetWorldResult Result = FleetWorld(Options).run();
+  STRCMP_EQUAL("", join(Result.Violations_).c_str());
+  for (const auto &[Name, Kind] : Result.Kinds_) {
+    CHECK(Kind.Asked_ > 0);
+    LONGS_EQUAL(0, Kind.Unserved_);
+    LONGS_EQUAL(0, Kind.Refused_);
+  }
+}
+
+TEST(FleetPromises_, OneWorldBySeed) {
+  const char *Seed = std::getenv("MARJORAMBEND_WORLD");
+  if (Seed == nullptr)
+    return;
+  const FleetWorldResult Result =
+      FleetWorld(anyFaults(std::strtoull(Seed, nullptr, 10))).run();
+  STRCMP_EQUAL("", join(Result.Violations_).c_str());
+}
+
+TEST(FleetPromises_, HoldUnderAnyFaults) {
+  CHECK(rc::check("promises hold under any faults", [](uint64_t Seed) {
+    const FleetWorldResult Result = FleetWorld(anyFaults(Seed)).run();
+    if (!Result.Violations_.empty())
+      RC_FAIL("seed " + std::to_string(Seed) + ": " + join(Result.Violations_));
+  }));
+}
+
+int main(int Count, char **Arguments) {
+  return runTests(Count, Arguments, 40);
+}
--- /dev/null
+++ b/coordination/test/Simulation/FleetWorld.cpp
@@ -0,0 +1,756 @@
+#include "Simulation/FleetWorld.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marjorambend::test {
+
+// As the users' platform has it.
+static constexpr int64_t ClientTrip = 3;
+static constexpr int64_t NearTrip = 0;
+static constexpr int64_t FarTrip = 1;
+static constexpr int64_t TickEvery = 20;
+static constexpr int64_t ListEvery = 600;
+static constexpr int64_t SessionSilence = 650;
+static constexpr int64_t ResendAfter = 1'300;
+static constexpr int64_t OrderTimeout = 250;
+static constexpr Milliseconds DrainBound{2'000};
+static constexpr Milliseconds WallStart{1'700'000'000'000};
+static constexpr double Stretch = 1.6;
+static constexpr double TargetLatency = 60;
+static constexpr double LateShare = 0.2;
+static constexpr uint32_t MaxCallerAttempts = 3;
+
+std::vector<LoadKind> agenciaKinds(double Load) {
+  return {{.Name_ = "cotiza",
+           .Priority_ = 0,
+           .PerSecond_ = 34.4 * Load,
+           .MeanTasks_ = 8,
+           .MostTasks_ = 32,
+           .MeanRun_ = 60,
+           .MostRun_ = 240,
+           .MeanMilliCores_ = 27'000,
+           .Worth_ = 0.0291},
+          {.Name_ = "liquidacion",
+           .Priority_ = 2,
+           .PerSecond_ = 6.25 * Load,
+           .MeanTasks_ = 4,
+           .MostTasks_ = 16,
+           .MeanRun_ = 900,
+           .MostRun_ = 3'600,
+           .MeanMilliCores_ = 27'000,
+           .Worth_ = 0.16},
+          {.Name_ = "certpeso",
+           .Priority_ = 1,
+           .PerSecond_ = 100 * Load,
+           .MeanTasks_ = 2,
+           .MostTasks_ = 8,
+           .MeanRun_ = 200,
+           .MostRun_ = 800,
+           .MeanMilliCores_ = 27'000,
+           .Worth_ = 0.01}};
+}
+
+FleetWorld::FleetWorld(FleetWorldOptions Options)
+    : Options_(std::move(Options)), Generator_(Options_.Seed_) {
+  for (uint32_t Centre = 0; Centre < Options_.DataCentres_; ++Centre) {
+    const std::string Name = "dc" + std::to_string(Centre);
+    for (uint32_t Index = 0; Index < Options_.InstancesEach_; ++Index)
+      Nodes_.push_back({.Name_ = Name + "-i" + std::to_string(Index),
+                        .DataCentre_ = Name});
+    for (uint32_t Index = 0; Index < Options_.WorkersEach_; ++Index) {
+      const std::string Id = Name + "-w" + std::to_string(Index);
+      SimWorker &Worker = Workers_[Id];
+      const double Size = Index % 3 == 2 ? Options_.LargeFactor_ : 1.0;
+      Worker.Report_ = {
+          .Id_ = Id,
+          .Service_ = "service",
+          .Address_ = Id,
+          .Port_ = 1,
+          .DataCentre_ = Name,
+          .Capacity_ = {static_cast<int64_t>(
+                            static_cast<double>(Options_.WorkerMilliCores_) *
+                            Size),
+                        131'072, 0}};
+      Worker.Speed_ = Options_.Speeds_[Index % Options_.Speeds_.size()];
+      restart(Worker, {0});
+    }
+  }
+}
+
+void FleetWorld::at(Milliseconds When, std::function<void()> Call) {
+  Queue_.push({std::max(When, Now_), NextOrder_++, std::move(Call)});
+}
+void FleetWorld::after(int64_t Delay, std::function<void()> Call) {
+  at(Now_ + Milliseconds{Delay}, std::move(Call));
+}
+int64_t FleetWorld::between(int64_t Least, int64_t Most) {
+  return Least + static_cast<int64_t>(uniformBelow(
+                     Generator_, static_cast<uint64_t>(Most - Least + 1)));
+}
+bool FleetWorld::chance(double Share) {
+  return Share > 0 && uniformUnit(Generator_) < Share;
+}
+
+void FleetWorld::violate(const std::string &What) {
+  Result_.Violations_.push_back(std::to_string(Now_.Count_) + " ms: " + What);
+}
+
+SimWorker *FleetWorld::findWorker(const std::string &Id) {
+  const auto Found = Workers_.find(Id);
+  return Found == Workers_.end() ? nullptr : &Found->second;
+}
+
+std::optional<std::size_t> FleetWorld::nodeOf(Incarnation Run) const {
+  for (std::size_t Index = 0; Index < Nodes_.size(); ++Index) {
+    if (Nodes_[Index].IsUp_ && Nodes_[Index].Info_.Run_ == Run)
+      return Index;
+  }
+  return std::nullopt;
+}
+
+// --- Instances
+
+void FleetWorld::startNode(std::size_t Index) {
+  Node &Starting = Nodes_[Index];
+  FleetOptions Options;
+  Options.Name_ = Starting.Name_;
+  Options.DataCentre_ = Starting.DataCentre_;
+  Options.CpuShare_ = Index == 0 ? 620 : 250;
+  if (Options_.Plant_ == FleetPlant::LongLeases)
+    Options.Holder_.Lease_ = {10'000};
+  Starting.State_ = std::make_unique<FleetInstance>(
+      makeFleetInstance(std::move(Options), Generator_()));
+  Starting.Info_ = Starting.State_->Self_;
+  Starting.IsUp_ = true;
+  Starting.IsFrozen_ = false;
+  ++Starting.Epoch_;
+  Starting.Held_.clear();
+  const uint64_t Epoch = Starting.Epoch_;
+  tickNode(Index, Epoch);
+  after(between(5, 60), [this, Index, Epoch] {
+    FleetConfig Config{.Version_ = 1};
+    for (const LoadKind &Kind : Options_.Kinds_)
+      Config.Routes_.push_back({.Name_ = Kind.Name_,
+                                .Host_ = "host",
+                                .Prefix_ = "/" + Kind.Name_ + "/",
+                                .Service_ = "service",
+                                .Priority_ = Kind.Priority_,
+                                .MaxAttempts_ = 3,
+                                .StretchFactor_ = Stretch,
+                                .TargetLatency_ = {60}});
+    give(Index, Epoch, ConfigRead{Config});
+  });
+  for (std::size_t Other = 0; Other < Nodes_.size(); ++Other) {
+    if (Other != Index)
+      after(between(2, 300), [this, Index, Other] { connect(Index, Other); });
+  }
+}
+
+void FleetWorld::connect(std::size_t A, std::size_t B) {
+  Node &First = Nodes_[A];
+  Node &Second = Nodes_[B];
+  const auto Pair = std::minmax(A, B);
+  const bool IsPossible = First.IsUp_ && Second.IsUp_ && !First.IsFrozen_ &&
+                          !Second.IsFrozen_ && !Cut_[Pair] && !Linked_[Pair];
+  if (!IsPossible)
+    return;
+  Linked_[Pair] = true;
+  give(A, First.Epoch_, InstanceUp{Second.Info_});
+  give(B, Second.Epoch_, InstanceUp{First.Info_});
+}
+
+// Both sides notice within the delay, each at its own time.
+void FleetWorld::disconnect(std::size_t A, std::size_t B, int64_t Delay) {
+  const auto Pair = std::minmax(A, B);
+  if (!Linked_[Pair])
+    return;
+  Linked_[Pair] = false;
+  const auto Tell = [this, Delay](std::size_t To, Incarnation Gone) {
+    const uint64_t Epoch = Nodes_[To].Epoch_;
+    after(Delay == 0 ? 1 : between(Delay - 100, Delay + 50),
+          [this, To, Epoch, Gone] { give(To, Epoch, InstanceDown{Gone}); });
+  };
+  Tell(A, Nodes_[B].Info_.Run_);
+  Tell(B, Nodes_[A].Info_.Run_);
+  after(Delay + 200, [this, A, B] { connect(A, B); });
+}
+
+void FleetWorld::endNode(std::size_t Index, bool IsSilent) {
+  Node &Ending = Nodes_[Index];
+  if (!Ending.IsUp_)
+    return;
+  for (std::size_t Other = 0; Other < Nodes_.size(); ++Other) {
+    if (Other != Index)
+      disconnect(Index, Other, IsSilent ? SessionSilence : 0);
+  }
+  Ending.IsUp_ = false;
+  ++Ending.Epoch_;
+  loseRequests(Index);
+  after(between(300, 2'000), [this, Index] { startNode(Index); });
+}
+
+void FleetWorld::stopNode(std::size_t Index) {
+  Node &Stopping = Nodes_[Index];
+  if (!Stopping.IsUp_ || Stopping.IsFrozen_)
+    return;
+  const uint64_t Epoch = Stopping.Epoch_;
+  give(Index, Epoch, FleetStop{});
+  after(5'300, [this, Index, Epoch] {
+    give(Index, Epoch, FleetStopForced{});
+    after(10, [this, Index, Epoch] {
+      if (Nodes_[Index].Epoch_ == Epoch)
+        endNode(Index, false);
+    });
+  });
+}
+
+void FleetWorld::tickNode(std::size_t Index, uint64_t Epoch) {
+  if (Nodes_[Index].Epoch_ != Epoch)
+    return;
+  give(Index, Epoch, FleetTick{WallStart + Now_});
+  after(TickEvery, [this, Index, Epoch] { tickNode(Index, Epoch); });
+}
+
+void FleetWorld::give(std::size_t Index, uint64_t Epoch, FleetEvent Event) {
+  Node &To = Nodes_[Index];
+  if (!To.IsUp_ || To.Epoch_ != Epoch)
+    return;
+  if (To.IsFrozen_) {
+    To.Held_.push_back([this, Index, Epoch, Event] { give(Index, Epoch, Event); });
+    return;
+  }
+  carryOut(Index, step(*To.State_, std::move(Event), Now_));
+}
+
+void FleetWorld::plantInto(FleetActions &Wanted) const {
+  if (Options_.Plant_ == FleetPlant::KeepStrangers)
+    std::erase_if(Wanted, [](const FleetAction &One) {
+      return std::holds_alternative<StopRun>(One);
+    });
+}
+
+void FleetWorld::carryOut(std::size_t Index, FleetActions Wanted) {
+  plantInto(Wanted);
+  for (FleetAction &One : Wanted) {
+    if (auto *Tell = std::get_if<TellInstance>(&One)) {
+      const auto To = nodeOf(Tell->To_);
+      if (!To || !Linked_[std::minmax(Index, *To)])
+        continue;
+      const bool IsNear =
+          Nodes_[Index].DataCentre_ == Nodes_[*To].DataCentre_;
+      after(IsNear ? NearTrip : FarTrip,
+            [this, To = *To, Index, Epoch = Nodes_[*To].Epoch_,
+             From = Nodes_[Index].Info_.Run_, Message = Tell->Message_] {
+              if (Linked_[std::minmax(Index, To)])
+                give(To, Epoch, InstanceSaid{From, Message});
+            });
+    } else if (const auto *Start = std::get_if<StartRun>(&One)) {
+      carryOutStart(Index, *Start);
+    } else if (const auto *Stop = std::get_if<StopRun>(&One)) {
+      carryOutStop(Index, *Stop);
+    } else if (const auto *Look = std::get_if<LookAtWorker>(&One)) {
+      carryOutLook(Index, *Look);
+    } else if (const auto *Answer = std::get_if<AnswerJob>(&One)) {
+      answer(Index, *Answer);
+    }
+  }
+}
+
+// --- Orders to workers
+
+void FleetWorld::order(std::size_t Index, const WorkerTarget &To,
+                       std::function<void(SimWorker &)> Apply,
+                       std::function<void()> Unanswered) {
+  SimWorker *Worker = findWorker(To.Id_);
+  if (Worker == nullptr || !Worker->IsUp_ || WorkerCut_[{Index, To.Id_}]) {
+    after(OrderTimeout, std::move(Unanswered));
+    return;
+  }
+  const auto Reach = [this, Id = To.Id_, Apply = std::move(Apply)] {
+    SimWorker *Reached = findWorker(Id);
+    if (Reached != nullptr && Reached->IsUp_)
+      Apply(*Reached);
+  };
+  if (chance(Options_.ApplyLate_)) {
+    after(between(2'000, 12'000), [this, Reach] {
+      IsApplyingLate_ = true;
+      Reach();
+      IsApplyingLate_ = false;
+    });
+    after(OrderTimeout, std::move(Unanswered));
+    return;
+  }
+  const bool IsNear =
+      Worker->Report_.DataCentre_ == Nodes_[Index].DataCentre_;
+  after(IsNear ? NearTrip : FarTrip, Reach);
+}
+
+void FleetWorld::noteStart(SimWorker &Worker, const RunId &Run) {
+  ++Result_.Starts_;
+  const auto Key = std::make_pair(Run.Job_, Run.Task_);
+  const auto Before = RunningOn_.find(Key);
+  if (Before != RunningOn_.end())
+    violate("task " + formatHex(Run.Job_) + '.' + std::to_string(Run.Task_) +
+            " started on " + Worker.Report_.Id_ + " while it runs on " +
+            Before->second);
+  RunningOn_[Key] = Worker.Report_.Id_;
+  if (Worker.DrainedAt_ && Now_ > *Worker.DrainedAt_ + DrainBound &&
+      !IsApplyingLate_)
+    violate("new work on draining worker " + Worker.Report_.Id_);
+  Caller &Asking = Callers_.at(Run.Job_);
+  Asking.HasStarted_ = true;
+  // The users' bounds in time do not hold for orders that a worker carries out
+  // late; the holder stops such a run, and checkEnd sees whether it did.
+  if (Asking.IsSettled_ && Now_ - Asking.EndedAt_ > Milliseconds{1'500} &&
+      !IsApplyingLate_)
+    violate("start for job " + formatHex(Run.Job_) + " that nobody wants");
+}
+
+void FleetWorld::carryOutStart(std::size_t Index, const StartRun &Start) {
+  const uint64_t Epoch = Nodes_[Index].Epoch_;
+  const auto Answer = [this, Index, Epoch, Start](OrderResult Result,
+                                                  std::optional<Milliseconds>
+                                                      Clock) {
+    give(Index, Epoch,
+         StartAnswered{Start.Worker_.Id_, Start.Run_, Result, Clock});
+  };
+  const OrderResult WhenUnknown =
+      Options_.Plant_ == FleetPlant::RestartUnknownStart
+          ? OrderResult::NotDelivered
+          : OrderResult::Unknown;
+  const bool IsLost = chance(Options_.LoseAnswer_);
+  order(
+      Index, Start.Worker_,
+      [this, Start, Answer, IsLost, WhenUnknown](SimWorker &Worker) {
+        const Caller &Asking = Callers_.at(Start.Run_.Job_);
+        const double Length =
+            Asking.Runs_.at(Start.Run_.Task_) / Worker.Speed_;
+        const std::size_t Before = Worker.Runs_.size();
+        const OrderResult Result =
+            applyStart(Worker, Start,
+                       {.Needs_ = Asking.Job_.Needs_,
+                        .Length_ = Length,
+                        .WillFail_ = chance(Options_.FailRun_)},
+                       Now_);
+        if (Worker.Runs_.size() > Before)
+          noteStart(Worker, Start.Run_);
+        if (Result != OrderResult::Accepted)
+          ++Result_.RejectedStarts_;
+        const Milliseconds Clock = Now_ + Worker.ClockOffset_;
+        if (IsLost)
+          after(OrderTimeout,
+                [=] { Answer(WhenUnknown, std::nullopt); });
+        else
+          after(NearTrip, [=] { Answer(Result, Clock); });
+      },
+      [=] { Answer(WhenUnknown, std::nullopt); });
+}
+
+void FleetWorld::carryOutStop(std::size_t Index, const StopRun &Stop) {
+  const uint64_t Epoch = Nodes_[Index].Epoch_;
+  order(
+      Index, Stop.Worker_,
+      [this, Index, Epoch, Stop](SimWorker &Worker) {
+        const OrderResult Result =
+            applyStop(Worker, Stop, Now_, [this](const SimRun &Run) {
+              RunningOn_.erase({Run.Id_.Job_, Run.Id_.Task_});
+            });
+        const Milliseconds Clock = Now_ + Worker.ClockOffset_;
+        after(NearTrip, [this, Index, Epoch, Stop, Result, Clock] {
+          give(Index, Epoch,
+               StopAnswered{Stop.Worker_.Id_, Stop.Run_, Result, Clock});
+        });
+      },
+      [this, Index, Epoch, Stop] {
+        give(Index, Epoch,
+             StopAnswered{Stop.Worker_.Id_, Stop.Run_, OrderResult::Unknown,
+                          std::nullopt});
+      });
+}
+
+void FleetWorld::carryOutLook(std::size_t Index, const LookAtWorker &Look) {
+  const uint64_t Epoch = Nodes_[Index].Epoch_;
+  auto IsAnswered = std::make_shared<bool>(false);
+  const auto Answer = [this, Index, Epoch, Look,
+                       IsAnswered](WorkerListed Lists) {
+    if (*IsAnswered || WorkerCut_[{Index, Look.Worker_.Id_}])
+      return;
+    *IsAnswered = true;
+    Lists.Worker_ = Look.Worker_.Id_;
+    Lists.Look_ = Look.Look_;
+    after(NearTrip, [this, Index, Epoch, Lists = std::move(Lists)] {
+      give(Index, Epoch, Lists);
+    });
+  };
+  const auto Fail = [this, Index, Epoch, Look, IsAnswered] {
+    if (*IsAnswered)
+      return;
+    *IsAnswered = true;
+    give(Index, Epoch,
+         WorkerListed{.Worker_ = Look.Worker_.Id_, .Look_ = Look.Look_});
+  };
+  order(
+      Index, Look.Worker_,
+      [this, Look, Answer](SimWorker &Worker) {
+        const OrderResult Result = applyLook(Worker, Look, Now_);
+        if (Result != OrderResult::Accepted) {
+          Answer({.Result_ = Result});
+          return;
+        }
+        Worker.Looks_.push_back(
+            {Look.AckedThrough_, Now_ + Look.Wait_, Answer});
+      },
+      [] {});
+  after(Look.Wait_.Count_ + OrderTimeout, Fail);
+}
+
+void FleetWorld::listWorkers() {
+  std::vector<WorkerReport> Reports;
+  for (const auto &[Id, Worker] : Workers_)
+    Reports.push_back(Worker.Report_);
+  for (std::size_t Index = 0; Index < Nodes_.size(); ++Index) {
+    const uint64_t Epoch = Nodes_[Index].Epoch_;
+    after(between(1, ListEvery), [this, Index, Epoch, Reports] {
+      if (IsListOut_)
+        give(Index, Epoch, WorkersUnknown{});
+      else
+        give(Index, Epoch, WorkersRead{Reports});
+    });
+  }
+  after(ListEvery, [this] { listWorkers(); });
+}
+
+// --- Callers
+
+static double logNormal(Random &Generator, double Mean, double Sigma) {
+  const double A = std::max(1e-12, uniformUnit(Generator));
+  const double B = uniformUnit(Generator);
+  const double Normal =
+      std::sqrt(-2 * std::log(A)) * std::cos(2 * 3.14159265358979 * B);
+  return Mean * std::exp(Sigma * Normal - Sigma * Sigma / 2);
+}
+
+void FleetWorld::makeLoad() {
+  static constexpr double Uneven = 0.15;
+  for (std::size_t Kind = 0; Kind < Options_.Kinds_.size(); ++Kind) {
+    const LoadKind &Of = Options_.Kinds_[Kind];
+    double When = static_cast<double>(Options_.LoadFrom_.Count_);
+    while (When < static_cast<double>(Options_.LoadUntil_.Count_)) {
+      double Rate = Of.PerSecond_;
+      for (const LoadPeak &Peak : Options_.Peaks_) {
+        const Milliseconds Here{static_cast<int64_t>(When)};
+        if ((Peak.Kind_.empty() || Peak.Kind_ == Of.Name_) &&
+            Here >= Peak.From_ && Here < Peak.Until_)
+          Rate *= Peak.Factor_;
+      }
+      When -= 1000.0 / Rate * std::log(std::max(1e-12, uniformUnit(Generator_)));
+      Caller Asking;
+      Asking.Id_ = Generator_() | 1U;
+      Asking.Kind_ = Kind;
+      const auto Tasks = static_cast<uint32_t>(std::clamp(
+          std::round(logNormal(Generator_, Of.MeanTasks_, 0.4)), 1.0,
+          static_cast<double>(Of.MostTasks_)));
+      const double Run = std::min(
+          Of.MostRun_, logNormal(Generator_, Of.MeanRun_, 0.4));
+      double Longest = 0;
+      for (uint32_t Task = 0; Task < Tasks; ++Task) {
+        Asking.Runs_.push_back(
+            std::max(1.0, logNormal(Generator_, Run, Uneven)));
+        Longest = std::max(Longest, Asking.Runs_.back());
+        Asking.Work_ += Asking.Runs_.back();
+      }
+      const double Cores =
+          std::clamp(logNormal(Generator_, Of.MeanMilliCores_, 0.2), 1'000.0,
+                     Of.MeanMilliCores_ * 1.5);
+      Asking.Job_ = {.Id_ = Asking.Id_,
+                     .Host_ = "host",
+                     .Path_ = "/" + Of.Name_ + "/",
+                     .Spec_ = "spec",
+                     .Tasks_ = Tasks,
+                     .Needs_ = {static_cast<int64_t>(Cores), 64, 0},
+                     .Estimate_ = {std::max<int64_t>(
+                         1, static_cast<int64_t>(logNormal(
+                                Generator_, Run, Options_.EstimateError_)))}};
+      Asking.Work_ *= Cores;
+      Asking.Objective_ = {
+          static_cast<int64_t>(Longest * Stretch + TargetLatency)};
+      const int64_t Patience =
+          std::max<int64_t>(1'500, Asking.Objective_.Count_ * 3) +
+          between(300, 1'300);
+      Asking.Job_.Patience_ = {Patience};
+      Asking.FirstAt_ = {static_cast<int64_t>(When)};
+      const uint64_t Id = Asking.Id_;
+      Callers_[Id] = std::move(Asking);
+      at(Callers_[Id].FirstAt_, [this, Id] { send(Id); });
+    }
+  }
+}
+
+void FleetWorld::send(uint64_t Id) {
+  Caller &Asking = Callers_.at(Id);
+  if (Asking.IsSettled_)
+    return;
+  ++Asking.Attempts_;
+  Asking.DueAt_ = Now_ + Asking.Job_.Patience_ + Milliseconds{ResendAfter};
+  std::vector<std::size_t> Ready;
+  for (std::size_t Index = 0; Index < Nodes_.size(); ++Index) {
+    if (Nodes_[Index].IsUp_ && Nodes_[Index].State_ &&
+        isReady(*Nodes_[Index].State_))
+      Ready.push_back(Index);
+  }
+  if (Ready.empty()) {
+    sendAgain(Asking);
+    return;
+  }
+  const std::size_t To = Ready[uniformBelow(Generator_, Ready.size())];
+  const uint64_t Epoch = Nodes_[To].Epoch_;
+  const uint64_t Token = NextToken_++;
+  JobSubmission Job = Asking.Job_;
+  Job.Token_ = Token;
+  after(ClientTrip, [this, To, Epoch, Token, Id, Job] {
+    if (!Nodes_[To].IsUp_ || Nodes_[To].Epoch_ != Epoch) {
+      sendAgain(Callers_.at(Id));
+      return;
+    }
+    Nodes_[To].Requests_[Token] = Id;
+    give(To, Epoch, Job);
+  });
+  const auto Leave = [this, To, Epoch, Token, Id](bool IsAgain) {
+    if (Nodes_[To].Epoch_ != Epoch || Nodes_[To].Requests_.erase(Token) == 0)
+      return;
+    give(To, Epoch, JobAbandoned{Token});
+    Caller &Leaving = Callers_.at(Id);
+    Leaving.HasLeft_ = !IsAgain;
+    if (IsAgain)
+      sendAgain(Leaving);
+    else
+      settle(Leaving, JobOutcome::Cancelled);
+  };
+  const Milliseconds Patience = Asking.Job_.Patience_;
+  after(Patience.Count_ + 50, [Leave] { Leave(true); });
+  if (chance(Options_.LeaveEarly_))
+    after(between(20, Patience.Count_), [Leave] { Leave(false); });
+}
+
+void FleetWorld::sendAgain(Caller &Asking) {
+  if (Asking.IsSettled_)
+    return;
+  if (Asking.Attempts_ >= MaxCallerAttempts) {
+    settle(Asking, JobOutcome::MayHaveRun);
+    return;
+  }
+  after(ResendAfter, [this, Id = Asking.Id_] { send(Id); });
+}
+
+void FleetWorld::loseRequests(std::size_t Index) {
+  std::map<uint64_t, uint64_t> Lost = std::move(Nodes_[Index].Requests_);
+  Nodes_[Index].Requests_.clear();
+  for (const auto &[Token, Id] : Lost)
+    sendAgain(Callers_.at(Id));
+}
+
+void FleetWorld::answer(std::size_t Index, const AnswerJob &Answer) {
+  const auto Found = Nodes_[Index].Requests_.find(Answer.Token_);
+  if (Found == Nodes_[Index].Requests_.end())
+    return;
+  Caller &Asking = Callers_.at(Found->second);
+  Nodes_[Index].Requests_.erase(Found);
+  if (Answer.Outcome_ == JobOutcome::NotRun)
+    ++Asking.Rejected_;
+  if (Answer.Outcome_ == JobOutcome::MayHaveRun)
+    sendAgain(Asking);
+  else
+    settle(Asking, Answer.Outcome_);
+}
+
+void FleetWorld::settle(Caller &Asking, JobOutcome Outcome) {
+  if (Asking.IsSettled_)
+    return;
+  Asking.IsSettled_ = true;
+  Asking.EndedAt_ = Now_;
+  const LoadKind &Kind = Options_.Kinds_[Asking.Kind_];
+  KindResult &Into = Result_.Kinds_[Kind.Name_];
+  const double Mean = Kind.MeanTasks_ * Kind.MeanRun_ * Kind.MeanMilliCores_;
+  const double Worth =
+      Kind.Worth_ * std::min(4.0, 0.3 + 0.7 * Asking.Work_ / Mean);
+  const Milliseconds Took = Now_ - Asking.FirstAt_ + Milliseconds{ClientTrip};
+  if (Asking.HasLeft_)
+    return;
+  ++Into.Asked_;
+  Into.WorthAsked_ += Worth;
+  if (Outcome == JobOutcome::NotRun) {
+    ++Into.Refused_;
+  } else if (Outcome != JobOutcome::Completed ||
+             Took > Asking.Objective_ * 3) {
+    ++Into.Unserved_;
+  } else if (Took <= Asking.Objective_) {
+    ++Into.InTime_;
+    Into.WorthEarned_ += Worth;
+  } else {
+    ++Into.Late_;
+    Into.WorthEarned_ += LateShare * Worth;
+  }
+}
+
+// --- Faults
+
+void FleetWorld::makeFaults() {
+  const auto During = [this] {
+    return Milliseconds{between(Options_.LoadFrom_.Count_,
+                                Options_.LoadUntil_.Count_ + 1'000)};
+  };
+  const auto AnyNode = [this] { return uniformBelow(Generator_, Nodes_.size()); };
+  const auto AnyWorker = [this] {
+    return std::next(Workers_.begin(), static_cast<std::ptrdiff_t>(uniformBelow(
+                                           Generator_, Workers_.size())))
+        ->first;
+  };
+  for (uint32_t Count = 0; Count < Options_.Kills_; ++Count)
+    at(During(), [this, Index = AnyNode()] { endNode(Index, false); });
+  for (uint32_t Count = 0; Count < Options_.PowerLosses_; ++Count)
+    at(During(), [this, Index = AnyNode()] { endNode(Index, true); });
+  for (uint32_t Count = 0; Count < Options_.Stops_; ++Count)
+    at(During(), [this, Index = AnyNode()] { stopNode(Index); });
+  for (uint32_t Count = 0; Count < Options_.Freezes_; ++Count)
+    at(During(), [this, Index = AnyNode(), Length = between(100, 4'000)] {
+      Node &Hit = Nodes_[Index];
+      if (!Hit.IsUp_ || Hit.IsFrozen_)
+        return;
+      Hit.IsFrozen_ = true;
+      for (std::size_t Other = 0; Other < Nodes_.size() && Length > 650; ++Other) {
+        if (Other != Index)
+          disconnect(Index, Other, SessionSilence);
+      }
+      after(Length, [this, Index, Epoch = Hit.Epoch_] {
+        Node &Waking = Nodes_[Index];
+        if (Waking.Epoch_ != Epoch)
+          return;
+        Waking.IsFrozen_ = false;
+        const auto Held = std::move(Waking.Held_);
+        Waking.Held_.clear();
+        for (const auto &Call : Held)
+          Call();
+        for (std::size_t Other = 0; Other < Nodes_.size(); ++Other) {
+          if (Other != Index)
+            after(between(50, 300),
+                  [this, Index, Other] { connect(Index, Other); });
+        }
+      });
+    });
+  for (uint32_t Count = 0; Count < Options_.Cuts_; ++Count)
+    at(During(), [this, A = AnyNode(), B = AnyNode(),
+                  Length = between(700, 4'000)] {
+      if (A == B)
+        return;
+      Cut_[std::minmax(A, B)] = true;
+      disconnect(A, B, SessionSilence);
+      after(Length, [this, A, B] {
+        Cut_[std::minmax(A, B)] = false;
+        connect(A, B);
+      });
+    });
+  for (uint32_t Count = 0; Count < Options_.WorkerCuts_; ++Count)
+    at(During(), [this, Index = AnyNode(), Id = AnyWorker(),
+                  Length = between(200, 5'000)] {
+      WorkerCut_[{Index, Id}] = true;
+      after(Length, [this, Index, Id] { WorkerCut_[{Index, Id}] = false; });
+    });
+  for (uint32_t Count = 0; Count < Options_.WorkerCrashes_; ++Count)
+    at(During(), [this, Id = AnyWorker(), Length = between(200, 4'000)] {
+      SimWorker &Worker = *findWorker(Id);
+      if (!Worker.IsUp_)
+        return;
+      for (const SimRun &Run : Worker.Runs_)
+        RunningOn_.erase({Run.Id_.Job_, Run.Id_.Task_});
+      Worker.IsUp_ = false;
+      Worker.Looks_.clear();
+      after(Length, [this, Id] { restart(*findWorker(Id), Now_); });
+    });
+  for (uint32_t Count = 0; Count < Options_.Drains_; ++Count)
+    at(During(), [this, Id = AnyWorker()] {
+      SimWorker &Worker = *findWorker(Id);
+      if (Options_.Plant_ != FleetPlant::IgnoreDrains)
+        Worker.Report_.IsDraining_ = true;
+      // The list's own delay comes before this.
+      after(ListEvery, [this, Id] {
+        if (!findWorker(Id)->DrainedAt_ && !IsListOut_)
+          findWorker(Id)->DrainedAt_ = Now_;
+      });
+    });
+  for (uint32_t Count = 0; Count < Options_.ListOutages_; ++Count)
+    at(During(), [this, Length = between(500, 4'000)] {
+      IsListOut_ = true;
+      for (auto &[Id, Worker] : Workers_)
+        Worker.DrainedAt_.reset();
+      after(Length, [this] {
+        IsListOut_ = false;
+        for (auto &[Id, Worker] : Workers_) {
+          if (Worker.Report_.IsDraining_)
+            Worker.DrainedAt_ = Now_ + Milliseconds{2 * ListEvery};
+        }
+      });
+    });
+}
+
+void FleetWorld::checkEnd() {
+  for (const auto &[Id, Asking] : Callers_) {
+    // A caller whose time is not over yet may still be served.
+    const bool IsOpen = !Asking.IsSettled_ && Asking.DueAt_ >= Now_;
+    if (!Asking.IsSettled_ && !IsOpen)
+      violate("job " + formatHex(Id) + " has no answer");
+    if (Asking.HasStarted_ && Asking.Rejected_ > 0 &&
+        Asking.Rejected_ == Asking.Attempts_)
+      violate("job " + formatHex(Id) + " was refused as not run and has run");
+  }
+  for (const auto &[Id, Worker] : Workers_) {
+    for (const SimRun &Run : Worker.Runs_) {
+      const Caller &Asking = Callers_.at(Run.Id_.Job_);
+      if (Asking.IsSettled_ && Now_ - Asking.EndedAt_ > Milliseconds{2'000})
+        violate("worker " + Id + " still runs a task of job " +
+                formatHex(Run.Id_.Job_) + " that nobody wants");
+    }
+  }
+  for (const Node &One : Nodes_) {
+    if (!One.IsUp_ || !One.State_)
+      continue;
+    for (const auto &[Number, Job] : One.State_->Jobs_) {
+      const Caller &Asking = Callers_.at(Job.Submission_.Id_);
+      if (Asking.IsSettled_ && Now_ - Asking.EndedAt_ > Milliseconds{2'000})
+        violate("instance " + One.Name_ + " still has job " +
+                formatHex(Asking.Id_));
+    }
+  }
+}
+
+FleetWorldResult FleetWorld::run() {
+  for (std::size_t Index = 0; Index < Nodes_.size(); ++Index)
+    after(between(0, 300), [this, Index] { startNode(Index); });
+  listWorkers();
+  makeLoad();
+  makeFaults();
+  while (!Queue_.empty() && Queue_.top().At_ <= Options_.Length_) {
+    const Entry Next = Queue_.top();
+    Queue_.pop();
+    // Workers go on by themselves between two events.
+    while (Now_ < Next.At_) {
+      Now_ = Now_ + Milliseconds{1};
+      for (auto &[Id, Worker] : Workers_)
+        test::settle(Worker, Now_, [this](const SimRun &Run, RunEnd) {
+          RunningOn_.erase({Run.Id_.Job_, Run.Id_.Task_});
+        });
+    }
+    Next.Call_();
+  }
+  checkEnd();
+  double Asked = 0;
+  double Earned = 0;
+  for (const auto &[Name, Kind] : Result_.Kinds_) {
+    Asked += Kind.WorthAsked_;
+    Earned += Kind.WorthEarned_;
+  }
+  Result_.WorthShare_ = Asked > 0 ? Earned / Asked : 0;
+  return std::move(Result_);
+}
+
+} // namespace marjorambend::test
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -11,6 +11,8 @@
 static constexpr Milliseconds MaxIdleConnection{30'000};
 // Left of the grace for the last answers and the exit.
 static constexpr Milliseconds StopMargin{700};
+// Callers may still be sending on a connection as its last answer leaves; a
+// close before they have read it would reset the connection.
 static constexpr Milliseconds LastBytes{200};
 static constexpr uint16_t NotFound = 404;
 
@@ -273,16 +275,21 @@
 void FleetDaemon::checkStop() {
   if (!StopAt_)
     return;
-  const Milliseconds Since = monotonicNow() - *StopAt_;
+  const Milliseconds Now = monotonicNow();
+  const Milliseconds Since = Now - *StopAt_;
   const Milliseconds Bound = Settings_.StopGrace_ - StopMargin;
-  const bool IsDone = Since >= State_.Options_.StopTaking_ && isIdle(State_) &&
-                      Callers_.openRequests() == 0;
-  if (!IsDone && Since < Bound)
-    return;
-  if (!IsDone && !IsForced_) {
+  const bool IsQuiet = Since >= State_.Options_.StopTaking_ &&
+                       isIdle(State_) && Callers_.openRequests() == 0 &&
+                       !Callers_.hasUnsentBytes();
+  if (!IsQuiet)
+    QuietSince_.reset();
+  else if (!QuietSince_)
+    QuietSince_ = Now;
+  if (!IsForced_ && Since >= Bound) {
     IsForced_ = true;
     handle(FleetStopForced{});
   }
+  const bool IsDone = QuietSince_ && Now - *QuietSince_ >= LastBytes;
   if (!IsDone && Since < Bound + LastBytes)
     return;
   logLine("stopped", {{"after_ms", std::to_string(Since.Count_)},
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -61,6 +61,7 @@
   std::deque<FleetEvent> Events_;
   bool IsHandling_ = false;
   std::optional<Milliseconds> StopAt_;
+  std::optional<Milliseconds> QuietSince_; ///< All answers are sent.
   bool IsForced_ = false;
   std::unique_ptr<Timer> Tick_;
 };
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <evhtp/evhtp.h>
 #include <netinet/in.h>
@@ -270,6 +271,15 @@
   evhtp_request_resume(Request);
 }
 
+bool HttpServer::hasUnsentBytes() const {
+  for (const auto &[Raw, State] : Connections_) {
+    if (Raw->bev != nullptr &&
+        evbuffer_get_length(bufferevent_get_output(Raw->bev)) > 0)
+      return true;
+  }
+  return false;
+}
+
 void HttpServer::stopAccepting() {
   IsClosing_ = true;
   if (Server_ != nullptr && Server_->server != nullptr)
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -80,6 +80,9 @@
   /// \brief Requests that have not been answered yet.
   std::size_t openRequests() const { return Requests_.size(); }
 
+  /// \brief Whether bytes of an answer have not been handed to the system yet.
+  bool hasUnsentBytes() const;
+
   struct Connection;
 
 private:
