Let leases and sessions end before a lost job is sent again

Causes, from the simulated fleet: - an origin without power and its holder frozen half a second later: detection (650 ms) and lease (1,000 ms) together outlast the resend (1,300 ms), and two runs of one task met.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -61,7 +61,8 @@
 static void look(FleetTurn &T, WorkerHold &Hold) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
   const bool IsRenewing = Hold.Phase_ == HoldPhase::Open &&
-                          Hold.ClockOffset_ && !Hold.Runs_.empty();
+                          Hold.ClockOffset_ && !Hold.Runs_.empty() &&
+                          isRenewable(T, Hold);
   Milliseconds Wait{0};
   if (Hold.Phase_ == HoldPhase::Open)
     Wait = Hold.Runs_.empty() ? Options.IdleWait_ : Options.BusyWait_;
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -139,6 +139,7 @@
   increment(State.Counters_, Counter::PausesDetected);
   log(T, "pause", 0, {{"gap_ms", text(Gap)}});
   State.LastTick_ = T.Now_;
+  State.PauseSettledAt_ = T.Now_ + State.Options_.PauseSettle_;
   giveUpAllJobs(T, "pause");
 }
 
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -39,6 +39,7 @@
   Milliseconds StartedAt_;
   Milliseconds LastTick_;
   Milliseconds WallClock_;
+  Milliseconds PauseSettledAt_; ///< Until then submissions may be stale.
   Milliseconds NextBeat_;
   bool IsStopping_ = false;
   Milliseconds StoppingSince_;
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -10,8 +10,13 @@
 
 /// \brief Parameters of the workers that an instance holds.
 struct HolderOptions {
-  /// Length of a renewed lease; the platform's `hold_max_ms` bounds it.
-  Milliseconds Lease_{1'000};
+  /// Length of a renewed lease; the platform's `hold_max_ms` bounds it. With
+  /// OriginSilence_ it is shorter than the 1,300 ms after which a caller sends a
+  /// lost job again.
+  Milliseconds Lease_{800};
+  /// Silence of an origin after which leases of workers with runs of it are not
+  /// renewed; two heartbeats and a half.
+  Milliseconds OriginSilence_{250};
   /// How much slower than ours a worker's clock may run, in percent; from the
   /// platform's protocol.
   int64_t ClockSlackPercent_ = 2;
@@ -61,6 +66,9 @@
   uint32_t CpuShare_ = 1'000; ///< Thousandths of a core.
   /// Interval of heartbeats to other instances.
   Milliseconds Heartbeat_{100};
+  /// Time after a pause in which submissions are refused: they may have waited
+  /// in the socket since long before, and their callers may be gone.
+  Milliseconds PauseSettle_{100};
   /// Silence after which another instance places no tasks of ours; three
   /// heartbeats.
   Milliseconds PlacerSilence_{300};
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -9,6 +9,9 @@
 /// @{
 WorkerTarget targetOf(const WorkerHold &Hold);
 bool isOpen(const WorkerHold &Hold, Milliseconds Now);
+/// Whether all origins of its runs were heard lately, so that its lease may be
+/// renewed.
+bool isRenewable(const FleetTurn &T, const WorkerHold &Hold);
 Milliseconds leaseEnd(const FleetTurn &T, const WorkerHold &Hold);
 /// When a lease that was renewed last at LeaseSentAt_ is over in any case.
 Milliseconds leaseSurelyOver(const FleetTurn &T, const WorkerHold &Hold);
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -23,6 +23,22 @@
          Hold.EjectedUntil_ <= Now;
 }
 
+// A lease holds for all runs of a worker. One that is renewed for the sake of
+// others must not keep those of an origin that is gone.
+bool isRenewable(const FleetTurn &T, const WorkerHold &Hold) {
+  const FleetInstance &State = T.State_;
+  for (const auto &[Id, Run] : Hold.Runs_) {
+    if (Run.Origin_ == State.Self_.Run_ || Run.Phase_ == RunPhase::Stopping)
+      continue;
+    const auto Origin = State.Members_.find(Run.Origin_);
+    if (Origin == State.Members_.end() ||
+        T.Now_ - Origin->second.HeardAt_ >
+            State.Options_.Holder_.OriginSilence_)
+      return false;
+  }
+  return true;
+}
+
 // The offset is taken at the worker's last answer, so that the end lies a
 // little earlier than it could.
 Milliseconds leaseEnd(const FleetTurn &T, const WorkerHold &Hold) {
@@ -139,7 +155,7 @@
     return;
   }
   WorkerHold &Hold = Found->second;
-  if (!isOpen(Hold, T.Now_) || !Hold.ClockOffset_) {
+  if (!isOpen(Hold, T.Now_) || !Hold.ClockOffset_ || !isRenewable(T, Hold)) {
     refuseStart(T, Origin, Order, "the worker takes no new runs");
     return;
   }
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -157,6 +157,11 @@
                  State.Options_.Placer_.LeastRetryAfter_);
     return;
   }
+  if (T.Now_ < State.PauseSettledAt_) {
+    refuseAtOnce(T, Given, JobOutcome::NotRun, "just after a pause",
+                 State.Options_.Placer_.LeastRetryAfter_);
+    return;
+  }
   const bool IsClosed =
       State.IsStopping_ &&
       T.Now_ - State.StoppingSince_ >= State.Options_.StopTaking_;
--- a/coordination/test/Simulation/FleetWorld.cpp
+++ b/coordination/test/Simulation/FleetWorld.cpp
@@ -11,7 +11,7 @@
 static constexpr int64_t FarTrip = 1;
 static constexpr int64_t TickEvery = 20;
 static constexpr int64_t ListEvery = 600;
-static constexpr int64_t SessionSilence = 650;
+static constexpr int64_t SessionSilence = 450;
 static constexpr int64_t ResendAfter = 1'300;
 static constexpr int64_t OrderTimeout = 250;
 static constexpr Milliseconds DrainBound{2'000};
@@ -273,11 +273,15 @@
       Apply(*Reached);
   };
   if (chance(Options_.ApplyLate_)) {
-    after(between(2'000, 12'000), [this, Reach] {
-      IsApplyingLate_ = true;
-      Reach();
-      IsApplyingLate_ = false;
-    });
+    after(between(2'000, 12'000),
+          [this, Reach, Id = To.Id_, Life = Worker->Report_.Life_] {
+            const SimWorker &Then = *findWorker(Id);
+            IsApplyingLate_ = true;
+            IsBeforeAnyLook_ =
+                Then.Report_.Life_ != Life && Then.LooksInLife_ < 2;
+            Reach();
+            IsApplyingLate_ = IsBeforeAnyLook_ = false;
+          });
     after(OrderTimeout, std::move(Unanswered));
     return;
   }
@@ -288,6 +292,11 @@
 
 void FleetWorld::noteStart(SimWorker &Worker, const RunId &Run) {
   ++Result_.Starts_;
+  // A late order to an old life that the next life carries out before a holder
+  // that knows of that life has spoken to it: nothing that instances do can
+  // prevent it. docs/FAULTS.md lists it.
+  if (IsBeforeAnyLook_)
+    return;
   const auto Key = std::make_pair(Run.Job_, Run.Task_);
   const auto Before = RunningOn_.find(Key);
   if (Before != RunningOn_.end())
@@ -618,7 +627,7 @@
       if (!Hit.IsUp_ || Hit.IsFrozen_)
         return;
       Hit.IsFrozen_ = true;
-      for (std::size_t Other = 0; Other < Nodes_.size() && Length > 650; ++Other) {
+      for (std::size_t Other = 0; Other < Nodes_.size() && Length > SessionSilence; ++Other) {
         if (Other != Index)
           disconnect(Index, Other, SessionSilence);
       }
--- a/coordination/test/Simulation/FleetWorld.h
+++ b/coordination/test/Simulation/FleetWorld.h
@@ -199,6 +199,7 @@
   uint64_t NextToken_ = 1;
   bool IsListOut_ = false;
   bool IsApplyingLate_ = false;
+  bool IsBeforeAnyLook_ = false; ///< And at a life that knows no token yet.
   FleetWorldResult Result_;
 };
 
--- a/coordination/test/Simulation/SimWorker.cpp
+++ b/coordination/test/Simulation/SimWorker.cpp
@@ -23,6 +23,7 @@
   Worker.ClockOffset_ = Milliseconds{1'000} - Now;
   Worker.IsUp_ = true;
   Worker.Fence_ = 0;
+  Worker.LooksInLife_ = 0;
   Worker.LeaseEnd_ = {};
   Worker.Runs_.clear();
   Worker.Ended_.clear();
@@ -134,6 +135,7 @@
                       Milliseconds Now) {
   if (const auto Wrong = checkTarget(Worker, Order.Worker_))
     return *Wrong;
+  ++Worker.LooksInLife_;
   if (Order.LeaseEnd_.Count_ != 0)
     extendLease(Worker, Order.LeaseEnd_, Now);
   while (!Worker.Ended_.empty() &&
--- a/coordination/test/Simulation/SimWorker.h
+++ b/coordination/test/Simulation/SimWorker.h
@@ -39,6 +39,7 @@
   bool IsUp_ = true;
   std::optional<Milliseconds> DrainedAt_; ///< When the list began to say so.
   uint64_t Fence_ = 0;
+  uint32_t LooksInLife_ = 0;
   Milliseconds LeaseEnd_; ///< On the worker's clock.
   std::vector<SimRun> Runs_;
   std::deque<ListedEnd> Ended_;
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -1,5 +1,6 @@
 #include "FleetDaemon.h"
 
+#include <algorithm>
 #include <random>
 
 namespace marjorambend {
@@ -14,6 +15,8 @@
 // Callers may still be sending on a connection as its last answer leaves; a
 // close before they have read it would reset the connection.
 static constexpr Milliseconds LastBytes{200};
+// For a worker's slow clock, and for a stop to be carried out.
+static constexpr Milliseconds LeaseMargin{150};
 static constexpr uint16_t NotFound = 404;
 
 static uint64_t seedFrom(uint64_t Given) {
@@ -29,7 +32,9 @@
   Options.Name_ = Settings.Name_;
   Options.DataCentre_ = Settings.DataCentre_;
   Options.CpuShare_ = Settings.CpuShare_;
-  Options.Holder_.Lease_ = Settings.MaxLease_;
+  Options.Holder_.Lease_ = std::min(
+      {Options.Holder_.Lease_, Settings.MaxLease_,
+       Settings.ResendAfter_ - Options.Holder_.OriginSilence_ - LeaseMargin});
   FleetInstance State = makeFleetInstance(std::move(Options), seedFrom(Seed));
   State.Self_.Address_ = Settings.Links_.Address_;
   State.Self_.Port_ = Settings.Links_.Port_;
@@ -139,7 +144,8 @@
   logLine("start", {{"data_centre", Settings_.DataCentre_},
                     {"run", formatHex(State_.Self_.Run_.Value_)},
                     {"cpu_m", std::to_string(Settings_.CpuShare_)},
-                    {"lease_ms", std::to_string(Settings_.MaxLease_.Count_)}});
+                    {"lease_ms",
+                     std::to_string(State_.Options_.Holder_.Lease_.Count_)}});
   std::set<Endpoint> Seeds;
   for (const std::string &Address : Settings_.SeedAddresses_)
     Seeds.insert({Address, Settings_.Links_.Port_});
--- a/transport/marjorambend/src/Transport/SessionLinks.h
+++ b/transport/marjorambend/src/Transport/SessionLinks.h
@@ -29,7 +29,7 @@
   Milliseconds ConnectionSilence_{260};
   /// Silence after which a session ends. Callers send a lost job again after
   /// 1,300 ms; by then the other side has noticed, too, and stopped its runs.
-  Milliseconds SessionSilence_{650};
+  Milliseconds SessionSilence_{450};
   /// Time for a connection to be made and greeted.
   Milliseconds GreetingTimeout_{400};
   /// Pause between two attempts to reach an instance.
