--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -244,7 +244,8 @@
   }
   for (const auto &[Id, Why] : Dropped)
     dropHold(T, Id, Why);
-  chooseHolds(T);
+  if (T.Now_ >= T.State_.NextHoldReview_ || !Dropped.empty())
+    chooseHolds(T);
 }
 
 void takeReports(FleetTurn &T, const WorkersRead &Read) {
@@ -287,6 +288,7 @@
 // Workers stay where they are unless their holder is stopping or far away.
 void chooseHolds(FleetTurn &T) {
   FleetInstance &State = T.State_;
+  State.NextHoldReview_ = T.Now_ + State.Options_.HoldReview_;
   if (State.IsStopping_) {
     for (auto &[Id, Hold] : State.Holds_) {
       Hold.IsClosing_ = true;
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "marjorambend/src/Fleet/FleetStep.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace marjorambend {
@@ -123,7 +124,11 @@
   FleetInstance &State = T.State_;
   if (T.Now_ < State.NextBeat_)
     return;
-  State.NextBeat_ = T.Now_ + State.Options_.Heartbeat_;
+  const FleetOptions &Options = State.Options_;
+  const auto Others = static_cast<int64_t>(State.Members_.size());
+  State.NextBeat_ =
+      T.Now_ + std::clamp(Options.HeartbeatPerInstance_ * Others,
+                          Options.LeastHeartbeat_, Options.MostHeartbeat_);
   tellAll(T, InstanceStatus{.IsReady_ = isReady(State),
                             .IsStopping_ = State.IsStopping_});
 }
@@ -154,7 +159,7 @@
   choosePlacer(T);
   tickHolds(T);
   expireJobs(T);
-  State.Placing_.IsDirty_ = true;
+  State.Placing_.IsDirty_ = !State.Placing_.Waiting_.empty();
 }
 
 static void joinInstance(FleetTurn &T, const InstanceUp &Up) {
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -63,6 +63,7 @@
 
   std::map<std::string, WorkerHold> Holds_;
   std::map<std::string, Milliseconds> FencedUntil_;
+  Milliseconds NextHoldReview_;
 
   PlacerState Placing_;
 };
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -15,8 +15,8 @@
   /// lost job again.
   Milliseconds Lease_{800};
   /// Silence of an origin after which leases of workers with runs of it are not
-  /// renewed; two heartbeats and a half.
-  Milliseconds OriginSilence_{250};
+  /// renewed; two heartbeats.
+  Milliseconds OriginSilence_{290};
   /// How much slower than ours a worker's clock may run, in percent; from the
   /// platform's protocol.
   int64_t ClockSlackPercent_ = 2;
@@ -52,8 +52,11 @@
 struct PlacerOptions {
   /// Time for which a worker that has refused a run gets no further one.
   Milliseconds BackOff_{30};
-  /// Run times that differ by less than this share count as equal.
-  double SimilarRunTime_ = 0.15;
+  /// Run times that differ by less than this share count as equal; learnt
+  /// slowness varies by about this much by itself.
+  double SimilarRunTime_ = 0.35;
+  /// Age at which the fleet's usual slowness is computed anew.
+  Milliseconds UsualAge_{100};
   /// Least and greatest come-back time of a refusal.
   Milliseconds LeastRetryAfter_{200};
   Milliseconds MostRetryAfter_{5'000};
@@ -64,14 +67,19 @@
   std::string Name_ = "instance";
   std::string DataCentre_ = "data-centre";
   uint32_t CpuShare_ = 1'000; ///< Thousandths of a core.
-  /// Interval of heartbeats to other instances.
-  Milliseconds Heartbeat_{100};
+  /// Interval of heartbeats to other instances: grows with their number, so
+  /// that control stays under 1.1% of a core, between two bounds.
+  Milliseconds LeastHeartbeat_{100};
+  Milliseconds MostHeartbeat_{140};
+  Milliseconds HeartbeatPerInstance_{4};
+  /// Silence after which another instance places no tasks of ours; two of the
+  /// longest heartbeats.
+  Milliseconds PlacerSilence_{300};
+  /// Interval at which the choice of held workers is reviewed.
+  Milliseconds HoldReview_{100};
   /// Time after a pause in which submissions are refused: they may have waited
   /// in the socket since long before, and their callers may be gone.
   Milliseconds PauseSettle_{100};
-  /// Silence after which another instance places no tasks of ours; three
-  /// heartbeats.
-  Milliseconds PlacerSilence_{300};
   /// A larger gap between two ticks is a pause: others have given us up.
   Milliseconds PauseBound_{600};
   /// Time after the order to stop in which jobs are still taken: until the
--- a/coordination/marjorambend/src/Fleet/Placement.cpp
+++ b/coordination/marjorambend/src/Fleet/Placement.cpp
@@ -60,10 +60,10 @@
              Options.SimilarRunTime_));
   for (auto It = Workers.begin(); It != Workers.end(); ++It) {
     const PlacerWorker &Worker = It->second;
-    if (!Worker.Held_.IsOpen_ || Worker.BackOffUntil_ > Now)
-      continue;
+    // The cheapest tests come first: most workers are full when it matters.
     const Room Free = Worker.Held_.Report_.Capacity_ - Worker.Reserved_;
-    if (!fits(Job.Request_.Needs_, Free) || !isEligible(Job, Worker) ||
+    if (!fits(Job.Request_.Needs_, Free) || !Worker.Held_.IsOpen_ ||
+        Worker.BackOffUntil_ > Now || !isEligible(Job, Worker) ||
         internal::isCrowded(Job, It->first))
       continue;
     const Milliseconds Run = expectedRun(Job, Worker, Wish.UsualSlowness_);
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -63,6 +63,7 @@
     }
     for (const Reservation &One : It->second.Reservations_)
       unreserve(Placing, It->second, One.Worker_);
+    Placing.Waiting_.erase(It->first);
     It = Placing.Jobs_.erase(It);
   }
   std::erase_if(Placing.Workers_, [Run](const auto &Entry) {
@@ -91,13 +92,16 @@
   Waiting.insert(Waiting.end(), Request.Tasks_.begin(), Request.Tasks_.end());
   Job.Request_ = std::move(Request);
   Job.Request_.Tasks_ = std::move(Waiting);
+  Placing.Waiting_.insert({Origin, Job.Request_.Job_});
   Placing.IsDirty_ = true;
 }
 
 static void forgetIfDone(PlacerState &Placing, const PlacerJobKey &Key) {
   const auto Found = Placing.Jobs_.find(Key);
-  if (Found != Placing.Jobs_.end() && Found->second.Request_.Tasks_.empty() &&
-      Found->second.Reservations_.empty())
+  if (Found == Placing.Jobs_.end() || !Found->second.Request_.Tasks_.empty())
+    return;
+  Placing.Waiting_.erase(Key);
+  if (Found->second.Reservations_.empty())
     Placing.Jobs_.erase(Found);
 }
 
@@ -145,17 +149,22 @@
 
 // Estimates are compared with the faster half of the fleet, since a job's
 // objective is meant for sound workers.
-static double usualSlowness(const PlacerState &Placing) {
+static double usualSlowness(FleetTurn &T) {
+  PlacerState &Placing = T.State_.Placing_;
+  if (T.Now_ - Placing.UsualAt_ < T.State_.Options_.Placer_.UsualAge_)
+    return Placing.UsualSlowness_;
+  Placing.UsualAt_ = T.Now_;
   std::vector<double> Known;
   for (const auto &[Id, Worker] : Placing.Workers_) {
     if (Worker.Held_.IsOpen_)
       Known.push_back(Worker.Held_.Slowness_);
   }
   if (Known.empty())
-    return 1.0;
+    return Placing.UsualSlowness_;
   const auto Middle =
       Known.begin() + static_cast<std::ptrdiff_t>(Known.size() / 2);
   std::nth_element(Known.begin(), Middle, Known.end());
+  Placing.UsualSlowness_ = *Middle;
   return *Middle;
 }
 
@@ -184,7 +193,7 @@
   log(T, "place_refused", Job.Request_.Id_,
       {{"why", std::string(Why)},
        {"waited_ms", text(T.Now_ - Job.ArrivedAt_)},
-       {"waiting_jobs", std::to_string(T.State_.Placing_.Jobs_.size())},
+       {"waiting_jobs", std::to_string(T.State_.Placing_.Waiting_.size())},
        {"retry_after_ms", text(ComeBack)}});
   Job.Request_.Tasks_.clear();
   tell(T, Job.Origin_, PlaceRefused{Job.Request_.Job_, ComeBack});
@@ -200,9 +209,8 @@
     PlacerJobKey Key_;
   };
   std::vector<Entry> Waiting;
-  for (const auto &[Key, Job] : Placing.Jobs_) {
-    if (Job.Request_.Tasks_.empty())
-      continue;
+  for (const PlacerJobKey &Key : Placing.Waiting_) {
+    const PlacerJob &Job = Placing.Jobs_.at(Key);
     const Milliseconds Latest = Job.ObjectiveAt_ - Job.Request_.Estimate_;
     Waiting.push_back({Latest < Now, Latest, Key});
   }
@@ -244,7 +252,7 @@
   const std::vector<PlacerJobKey> Order = waitingOrder(Placing, T.Now_);
   if (Order.empty())
     return;
-  const double Usual = usualSlowness(Placing);
+  const double Usual = usualSlowness(T);
   for (const PlacerJobKey &Key : Order) {
     const auto Found = Placing.Jobs_.find(Key);
     if (Found == Placing.Jobs_.end())
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,6 +46,9 @@
 struct PlacerState {
   std::map<std::string, PlacerWorker> Workers_;
   std::map<PlacerJobKey, PlacerJob> Jobs_;
+  std::set<PlacerJobKey> Waiting_; ///< Jobs with tasks that wait.
+  double UsualSlowness_ = 1.0;     ///< Of the open workers' middle.
+  Milliseconds UsualAt_;           ///< When it was computed.
   bool IsDirty_ = false; ///< Something may be placeable that was not.
 };
 
--- a/transport/marjorambend/src/Transport/SessionLinks.cpp
+++ b/transport/marjorambend/src/Transport/SessionLinks.cpp
@@ -96,22 +96,25 @@
   dialAll();
 }
 
-bool SessionLinks::isLinked(const Endpoint &To) const {
+std::set<Endpoint> SessionLinks::linkedEndpoints() const {
+  std::set<Endpoint> Linked;
   for (const auto &[Key, Open] : Connections_) {
-    if (Open->Dialled_ == To)
-      return true;
+    if (Open->Dialled_)
+      Linked.insert(*Open->Dialled_);
   }
   for (const auto &[Run, State] : Sessions_) {
-    if (State.Active_ != nullptr && endpointOf(State.Session_.Peer_) == To)
-      return true;
+    if (State.Active_ != nullptr)
+      Linked.insert(endpointOf(State.Session_.Peer_));
   }
-  return false;
+  return Linked;
 }
 
 void SessionLinks::dialAll() {
   const Milliseconds Now = monotonicNow();
+  NextDial_ = Now + Options_.Redial_;
+  const std::set<Endpoint> Linked = linkedEndpoints();
   for (auto &[To, State] : Endpoints_) {
-    if (Now < State.NextAt_ || isLinked(To))
+    if (Now < State.NextAt_ || Linked.contains(To))
       continue;
     const bool HasSession = State.Run_ && Sessions_.contains(*State.Run_);
     State.NextAt_ =
@@ -377,7 +380,8 @@
   }
   for (const Incarnation Run : Ended)
     endSession(Run);
-  dialAll();
+  if (Now >= NextDial_)
+    dialAll();
 }
 
 } // namespace marjorambend
--- a/transport/marjorambend/src/Transport/SessionLinks.h
+++ b/transport/marjorambend/src/Transport/SessionLinks.h
@@ -96,7 +96,7 @@
   void connectionLost(Connection &Broken, bool WasRefused);
   Entry &entryFor(const InstanceInfo &Info);
   void endSession(Incarnation Run);
-  bool isLinked(const Endpoint &To) const;
+  std::set<Endpoint> linkedEndpoints() const;
 
   EventLoop &Loop_;
   SessionLinkOptions Options_;
@@ -106,6 +106,7 @@
   std::map<Connection *, std::unique_ptr<Connection>> Connections_;
   std::map<Incarnation, Entry> Sessions_;
   std::map<Incarnation, uint64_t> Nonces_; ///< Sessions begun with each run.
+  Milliseconds NextDial_;
   std::unique_ptr<Timer> Tick_;
 };
 
