Read the platform's store once a data centre

One instance of a data centre reads and tells the others what changed; they read themselves when its news is older than a second.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -2,6 +2,7 @@
 /// \brief Which workers this instance holds, and how it watches them.
 
 #include "marjorambend/src/Fleet/HoldStep.h"
+#include "marjorambend/src/Fleet/StableHash.h"
 
 #include <algorithm>
 #include <vector>
@@ -15,18 +16,8 @@
 static constexpr uint64_t FenceStep = 1000 * FenceLowBits;
 static constexpr uint32_t MaxFenceDoublings = 16;
 
-// FNV-1a; the same in every process, whatever its library.
-static uint64_t hashOf(std::string_view A, std::string_view B) {
-  uint64_t Hash = 14695981039346656037ULL;
-  const auto Add = [&Hash](std::string_view Text) {
-    for (const char Byte : Text)
-      Hash = (Hash ^ static_cast<uint8_t>(Byte)) * 1099511628211ULL;
-  };
-  Add(A);
-  Add("/");
-  Add(B);
-  Hash ^= Hash >> 32U;
-  return Hash * 0x9E3779B97F4A7C15ULL;
+static uint64_t hashOf(std::string_view Instance, std::string_view Worker) {
+  return hashNumber(hashText(Worker, hashText("/", hashText(Instance))), 0);
 }
 
 static uint64_t freshFence(FleetInstance &State) {
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -118,6 +118,8 @@
   void operator()(const StartOrder &M) const { startRun(T_, From_, M); }
   void operator()(const StopOrder &M) const { stopRun(T_, M); }
   void operator()(const RunEnded &M) const { takeRunEnd(T_, M); }
+  void operator()(const ListNews &M) const { takeListNews(T_, M); }
+  void operator()(const ConfigNews &M) const { takeConfigNews(T_, M); }
 };
 
 static void beat(FleetTurn &T) {
@@ -194,17 +196,11 @@
   FleetTurn &T_;
 
   void operator()(const FleetTick &E) const { tick(T_, E); }
-  void operator()(ConfigRead &E) const {
-    FleetConfig &Known = T_.State_.Config_;
-    if (E.Config_.Version_ <= Known.Version_)
-      return;
-    log(T_, "config", 0,
-        {{"version", std::to_string(E.Config_.Version_)},
-         {"before", std::to_string(Known.Version_)},
-         {"routes", std::to_string(E.Config_.Routes_.size())}});
-    Known = std::move(E.Config_);
+  void operator()(ConfigRead &E) const { takeConfig(T_, std::move(E)); }
+  void operator()(const ConfigConfirmed &) const {
+    T_.State_.ConfigSeenAt_ = T_.Now_;
   }
-  void operator()(const WorkersRead &E) const { takeReports(T_, E); }
+  void operator()(const WorkersRead &E) const { takeRead(T_, E); }
   void operator()(const WorkersUnknown &) const {
     T_.State_.IsListFresh_ = false;
   }
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -49,6 +49,9 @@
   bool HasList_ = false;
   bool IsListFresh_ = false; ///< The last read of the list has succeeded.
   Milliseconds MissingAreKeptUntil_; ///< Workers that the list lacks stay.
+  Milliseconds ListHeardAt_;   ///< Of the last news of another reader.
+  Milliseconds ConfigHeardAt_; ///< When a reader last followed the store.
+  Milliseconds ConfigSeenAt_;  ///< When this instance last did.
 
   std::map<Incarnation, FleetMember> Members_;
   /// Workers that other instances hold.
@@ -80,6 +83,16 @@
 /// \brief Whether nothing is left that a planned stop has to wait for.
 bool isIdle(const FleetInstance &State);
 
+/// \brief Whether this instance reads the platform's list for its data centre.
+bool isReader(const FleetInstance &State, Milliseconds Now);
+
+/// \brief Whether this instance should read the list itself now: it is the
+/// reader, or there was no news of one for too long.
+bool shouldReadList(const FleetInstance &State, Milliseconds Now);
+
+/// \brief Whether this instance should follow the configuration itself.
+bool shouldFollowConfig(const FleetInstance &State, Milliseconds Now);
+
 /// \brief What a caller may be told of a job's state.
 enum class JobState : uint8_t { Unknown, Queued, Active };
 
--- a/coordination/marjorambend/src/Fleet/FleetActions.h
+++ b/coordination/marjorambend/src/Fleet/FleetActions.h
@@ -71,6 +71,12 @@
   FleetMessage Message_;
 };
 
+/// \brief Decode a configuration that another instance has sent; one
+/// ConfigRead follows if it can be read.
+struct DecodeConfigText {
+  std::string Text_;
+};
+
 /// \brief One field of a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
@@ -84,7 +90,7 @@
 
 /// \brief Everything that an instance of the fleet can want done.
 using FleetAction = std::variant<AnswerJob, StartRun, StopRun, LookAtWorker,
-                                 TellInstance, LogDecision>;
+                                 TellInstance, DecodeConfigText, LogDecision>;
 
 /// \brief Actions in the order in which they are to be done.
 using FleetActions = std::vector<FleetAction>;
--- a/coordination/marjorambend/src/Fleet/FleetEvents.h
+++ b/coordination/marjorambend/src/Fleet/FleetEvents.h
@@ -16,11 +16,16 @@
   Milliseconds WallClock_; ///< Since the Unix epoch.
 };
 
-/// \brief A configuration was read.
+/// \brief A configuration was read, from the store or from another instance.
 struct ConfigRead {
   FleetConfig Config_;
+  std::string Text_;         ///< As the store has it, for other instances.
+  bool IsFromStore_ = false; ///< Read by this instance itself.
 };
 
+/// \brief The store has confirmed that the known configuration is the newest.
+struct ConfigConfirmed {};
+
 /// \brief The platform's list of workers was read whole.
 struct WorkersRead {
   std::vector<WorkerReport> Workers_;
@@ -120,7 +125,7 @@
 
 /// \brief Everything that can happen to an instance of the fleet.
 using FleetEvent =
-    std::variant<FleetTick, ConfigRead, WorkersRead, WorkersUnknown,
+    std::variant<FleetTick, ConfigRead, ConfigConfirmed, WorkersRead, WorkersUnknown,
                  JobSubmission, JobAbandoned, JobCancel, InstanceUp,
                  InstanceDown, InstanceSaid, StartAnswered, StopAnswered,
                  WorkerListed, FleetStop, FleetStopForced>;
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -106,11 +106,25 @@
   Milliseconds Ran_;
 };
 
+/// \brief What the reader of a data centre has found in the platform's list.
+struct ListNews {
+  std::vector<WorkerReport> Changed_; ///< New ones too.
+  std::vector<std::string> Removed_;
+  uint64_t Fingerprint_ = 0; ///< Of the whole list.
+  Milliseconds ConfigAge_;   ///< Since the reader last followed the store.
+};
+
+/// \brief A newer configuration, as the platform's store has it.
+struct ConfigNews {
+  uint64_t Version_ = 0;
+  std::string Text_;
+};
+
 /// \brief Everything that instances say to each other.
 using FleetMessage =
     std::variant<InstanceStatus, WorkersHeld, WorkersDropped, PlaceRequest,
                  PlaceWithdraw, PlaceRelease, PlaceAdopt, Placed, PlaceRefused, StartOrder,
-                 StopOrder, RunEnded>;
+                 StopOrder, RunEnded, ListNews, ConfigNews>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -75,6 +75,12 @@
   /// Silence after which another instance places no tasks of ours; two of the
   /// longest heartbeats.
   Milliseconds PlacerSilence_{300};
+  /// Age of the last news of the data centre's reader after which an instance
+  /// reads the list itself; one read that was missed, well inside the two
+  /// seconds in which a drain has to be in force.
+  Milliseconds ListNewsAge_{1'000};
+  /// The same for the configuration.
+  Milliseconds ConfigNewsAge_{1'200};
   /// Interval at which the choice of held workers is reviewed.
   Milliseconds HoldReview_{100};
   /// Time after a pause in which submissions are refused: they may have waited
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -46,6 +46,15 @@
 void tellAllHolds(FleetTurn &T, Incarnation To);
 /// @}
 
+/// What is read in the platform's store and passed on; see News.cpp.
+/// @{
+void takeConfig(FleetTurn &T, ConfigRead Read);
+void takeListNews(FleetTurn &T, const ListNews &News);
+void takeConfigNews(FleetTurn &T, const ConfigNews &News);
+/// Takes what this instance has read itself, and tells the data centre.
+void takeRead(FleetTurn &T, const WorkersRead &Read);
+/// @}
+
 /// Placing for all; see Placer.cpp.
 /// @{
 void viewWorkers(FleetTurn &T, Incarnation Holder, const WorkersHeld &Held);
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -0,0 +1,139 @@
+/// \file
+/// \brief One instance of a data centre reads the platform's store for all.
+
+#include "marjorambend/src/Fleet/FleetStep.h"
+#include "marjorambend/src/Fleet/StableHash.h"
+
+#include <utility>
+
+namespace marjorambend {
+namespace internal {
+
+static uint64_t fingerprintOf(const WorkerReport &Report) {
+  uint64_t Hash = hashText(Report.Id_);
+  const auto Mix = [&Hash](uint64_t Value) { Hash = hashNumber(Hash, Value); };
+  Mix(hashText(Report.Service_));
+  Mix(hashText(Report.Address_));
+  Mix(Report.Port_);
+  Mix(hashText(Report.DataCentre_));
+  for (const std::string &Label : Report.Labels_)
+    Mix(hashText(Label));
+  Mix(static_cast<uint64_t>(Report.Capacity_.MilliCores_));
+  Mix(static_cast<uint64_t>(Report.Capacity_.MemoryMb_));
+  Mix(static_cast<uint64_t>(Report.Capacity_.Accelerators_));
+  Mix(Report.IsDraining_ ? 1 : 0);
+  Mix(static_cast<uint64_t>(Report.Life_));
+  return Hash;
+}
+
+// A sum, since it does not depend on the order.
+static uint64_t
+fingerprintOf(const std::map<std::string, WorkerReport> &Listed) {
+  uint64_t Sum = Listed.size();
+  for (const auto &[Id, Report] : Listed)
+    Sum += fingerprintOf(Report);
+  return Sum;
+}
+
+static void tellDataCentre(FleetTurn &T, const FleetMessage &Message) {
+  for (const auto &[Run, Other] : T.State_.Members_) {
+    if (Other.Info_.DataCentre_ == T.State_.Self_.DataCentre_)
+      tell(T, Run, Message);
+  }
+}
+
+void takeConfig(FleetTurn &T, ConfigRead Read) {
+  FleetInstance &State = T.State_;
+  FleetConfig &Known = State.Config_;
+  if (Read.IsFromStore_)
+    State.ConfigSeenAt_ = T.Now_;
+  if (Read.Config_.Version_ <= Known.Version_)
+    return;
+  log(T, "config", 0,
+      {{"version", std::to_string(Read.Config_.Version_)},
+       {"before", std::to_string(Known.Version_)},
+       {"routes", std::to_string(Read.Config_.Routes_.size())},
+       {"from", Read.IsFromStore_ ? "store" : "instance"}});
+  Known = std::move(Read.Config_);
+  if (Read.IsFromStore_ && isReader(State, T.Now_))
+    tellAll(T, ConfigNews{Known.Version_, std::move(Read.Text_)});
+}
+
+void takeConfigNews(FleetTurn &T, const ConfigNews &News) {
+  if (News.Version_ > T.State_.Config_.Version_)
+    T.Out_.push_back(DecodeConfigText{News.Text_});
+}
+
+void takeRead(FleetTurn &T, const WorkersRead &Read) {
+  FleetInstance &State = T.State_;
+  const std::map<std::string, WorkerReport> Before = State.Listed_;
+  takeReports(T, Read);
+  if (!isReader(State, T.Now_))
+    return;
+  ListNews News{.Fingerprint_ = fingerprintOf(State.Listed_),
+                .ConfigAge_ = T.Now_ - State.ConfigSeenAt_};
+  for (const auto &[Id, Report] : State.Listed_) {
+    const auto Known = Before.find(Id);
+    if (Known == Before.end() || !(Known->second == Report))
+      News.Changed_.push_back(Report);
+  }
+  for (const auto &[Id, Report] : Before) {
+    if (!State.Listed_.contains(Id))
+      News.Removed_.push_back(Id);
+  }
+  tellDataCentre(T, News);
+}
+
+void takeListNews(FleetTurn &T, const ListNews &News) {
+  FleetInstance &State = T.State_;
+  State.ConfigHeardAt_ =
+      std::max(State.ConfigHeardAt_, T.Now_ - News.ConfigAge_);
+  std::map<std::string, WorkerReport> Listed = State.Listed_;
+  for (const WorkerReport &Report : News.Changed_)
+    Listed[Report.Id_] = Report;
+  for (const std::string &Id : News.Removed_)
+    Listed.erase(Id);
+  // Without the same list to begin with, this instance reads it itself.
+  if (fingerprintOf(Listed) != News.Fingerprint_)
+    return;
+  State.ListHeardAt_ = T.Now_;
+  const bool IsSame = News.Changed_.empty() && News.Removed_.empty();
+  if (IsSame && State.IsListFresh_)
+    return;
+  WorkersRead Read;
+  for (auto &[Id, Report] : Listed)
+    Read.Workers_.push_back(std::move(Report));
+  takeReports(T, Read);
+}
+
+} // namespace internal
+
+bool isReader(const FleetInstance &State, Milliseconds Now) {
+  if (State.IsStopping_)
+    return false;
+  for (const auto &[Run, Other] : State.Members_) {
+    const bool IsCandidate =
+        Other.Info_.DataCentre_ == State.Self_.DataCentre_ &&
+        Other.Status_.IsReady_ && !Other.Status_.IsStopping_ &&
+        Now - Other.HeardAt_ <= State.Options_.PlacerSilence_;
+    const bool IsBetter =
+        Other.Info_.CpuShare_ != State.Self_.CpuShare_
+            ? Other.Info_.CpuShare_ > State.Self_.CpuShare_
+            : Other.Info_.Name_ < State.Self_.Name_;
+    if (IsCandidate && IsBetter)
+      return false;
+  }
+  return true;
+}
+
+bool shouldReadList(const FleetInstance &State, Milliseconds Now) {
+  return !State.HasList_ || isReader(State, Now) ||
+         Now - State.ListHeardAt_ > State.Options_.ListNewsAge_;
+}
+
+bool shouldFollowConfig(const FleetInstance &State, Milliseconds Now) {
+  return State.Config_.Version_ == 0 || isReader(State, Now) ||
+         Now - State.ConfigHeardAt_ > State.Options_.ConfigNewsAge_;
+}
+
+} // namespace marjorambend
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -61,13 +61,22 @@
   void operator()(const TellInstance &A) const {
     D_.Links_.send(A.To_, A.Message_);
   }
+  void operator()(const DecodeConfigText &A) const {
+    auto Config = decodeConfig(A.Text_);
+    if (Config)
+      D_.handle(ConfigRead{.Config_ = std::move(Config->Fleet_)});
+    else
+      D_.logLine("config_unreadable", {{"from", "instance"}});
+  }
   void operator()(const LogDecision &A) const { D_.Log_.write(A); }
 };
 
 StoreWatchEvents FleetDaemon::storeEvents() {
   return {.OnConfig_ =
               [this](DecodedConfig Config) {
-                handle(ConfigRead{std::move(Config.Fleet_)});
+                handle(ConfigRead{.Config_ = std::move(Config.Fleet_),
+                                  .Text_ = std::move(Config.Text_),
+                                  .IsFromStore_ = true});
               },
           .OnWorkers_ =
               [this](std::vector<WorkerReport> Workers) {
@@ -75,6 +84,11 @@
               },
           .OnInstances_ =
               [this](std::set<Endpoint> Known) { Links_.addEndpoints(Known); },
+          .OnConfigConfirmed_ = [this] { handle(ConfigConfirmed{}); },
+          .ShouldReadWorkers_ =
+              [this] { return shouldReadList(State_, monotonicNow()); },
+          .ShouldFollowConfig_ =
+              [this] { return shouldFollowConfig(State_, monotonicNow()); },
           .OnReachable_ =
               [this](bool IsReachable, std::string_view What) {
                 logLine(IsReachable ? "store_regained" : "store_lost",
--- a/transport/marjorambend/src/Transport/FleetCodec.cpp
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -54,24 +54,41 @@
     return {fleetwire::Body::Status,
             fleetwire::CreateStatus(B_, M.IsReady_, M.IsStopping_).Union()};
   }
+  auto worker(const WorkerReport &R, bool IsOpen, double Slowness) const {
+    const auto Id = text(R.Id_);
+    const auto Service = text(R.Service_);
+    const auto Address = text(R.Address_);
+    const auto DataCentre = text(R.DataCentre_);
+    const auto Labels = B_.CreateVectorOfStrings(R.Labels_);
+    const fleetwire::Room Capacity = toWire(R.Capacity_);
+    return fleetwire::CreateWorker(B_, Id, Service, Address, R.Port_,
+                                   DataCentre, Labels, &Capacity, R.IsDraining_,
+                                   R.Life_, IsOpen, Slowness);
+  }
   FleetBody operator()(const WorkersHeld &M) const {
     std::vector<flatbuffers::Offset<fleetwire::Worker>> Workers;
-    for (const HeldWorker &One : M.Workers_) {
-      const WorkerReport &R = One.Report_;
-      const auto Id = text(R.Id_);
-      const auto Service = text(R.Service_);
-      const auto Address = text(R.Address_);
-      const auto DataCentre = text(R.DataCentre_);
-      const auto Labels = B_.CreateVectorOfStrings(R.Labels_);
-      const fleetwire::Room Capacity = toWire(R.Capacity_);
-      Workers.push_back(fleetwire::CreateWorker(
-          B_, Id, Service, Address, R.Port_, DataCentre, Labels, &Capacity,
-          R.IsDraining_, R.Life_, One.IsOpen_, One.Slowness_));
-    }
+    for (const HeldWorker &One : M.Workers_)
+      Workers.push_back(worker(One.Report_, One.IsOpen_, One.Slowness_));
     const auto All = B_.CreateVector(Workers);
     return {fleetwire::Body::WorkersHeld,
             fleetwire::CreateWorkersHeld(B_, All).Union()};
   }
+  FleetBody operator()(const ListNews &M) const {
+    std::vector<flatbuffers::Offset<fleetwire::Worker>> Changed;
+    for (const WorkerReport &One : M.Changed_)
+      Changed.push_back(worker(One, false, 1.0));
+    const auto All = B_.CreateVector(Changed);
+    const auto Removed = B_.CreateVectorOfStrings(M.Removed_);
+    return {fleetwire::Body::ListNews,
+            fleetwire::CreateListNews(B_, All, Removed, M.Fingerprint_,
+                                      M.ConfigAge_.Count_)
+                .Union()};
+  }
+  FleetBody operator()(const ConfigNews &M) const {
+    const auto Text = text(M.Text_);
+    return {fleetwire::Body::ConfigNews,
+            fleetwire::CreateConfigNews(B_, M.Version_, Text).Union()};
+  }
   FleetBody operator()(const WorkersDropped &M) const {
     const auto Ids = B_.CreateVectorOfStrings(M.Ids_);
     return {fleetwire::Body::WorkersDropped,
@@ -232,6 +249,17 @@
   return Given;
 }
 
+static ListNews toNews(const fleetwire::ListNews &M) {
+  ListNews Given{.Removed_ = toTexts(M.removed()),
+                 .Fingerprint_ = M.fingerprint(),
+                 .ConfigAge_ = {M.config_age_ms()}};
+  if (M.changed() == nullptr)
+    return Given;
+  for (const auto *One : *M.changed())
+    Given.Changed_.push_back(toWorker(*One).Report_);
+  return Given;
+}
+
 static std::optional<std::variant<SessionHello, FleetMessage>>
 toBody(const fleetwire::Frame &Frame) {
   switch (Frame.body_type()) {
@@ -285,6 +313,12 @@
                     .End_ = toEnd(M.end()),
                     .Ran_ = {M.ran_ms()}};
   }
+  case fleetwire::Body::ListNews:
+    return toNews(*Frame.body_as_ListNews());
+  case fleetwire::Body::ConfigNews: {
+    const auto &M = *Frame.body_as_ConfigNews();
+    return ConfigNews{M.version(), fromWire(M.text())};
+  }
   case fleetwire::Body::NONE:
     return std::nullopt;
   }
