--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -199,9 +199,16 @@
   tell(T, Job.Origin_, PlaceRefused{Job.Request_.Job_, ComeBack});
 }
 
-// Jobs that can meet their objective come first, in the order in which their
-// last chance to start passes; the others take what is left.
+// The last moment at which a task of usual run time ends in time.
+static Milliseconds latestStart(const PlacerJob &Job) {
+  return Job.ObjectiveAt_ - Job.Request_.Estimate_;
+}
+
+// Load pattern: more work than the fleet can do for seconds. Jobs that can meet
+// their objective come first, in the order in which their last chance to start
+// passes, the urgent ones a little earlier; the others take what is left.
 static std::vector<PlacerJobKey> waitingOrder(const PlacerState &Placing,
+                                              const PlacerOptions &Options,
                                               Milliseconds Now) {
   struct Entry {
     bool IsLate_;
@@ -211,8 +218,10 @@
   std::vector<Entry> Waiting;
   for (const PlacerJobKey &Key : Placing.Waiting_) {
     const PlacerJob &Job = Placing.Jobs_.at(Key);
-    const Milliseconds Latest = Job.ObjectiveAt_ - Job.Request_.Estimate_;
-    Waiting.push_back({Latest < Now, Latest, Key});
+    const Milliseconds Latest = latestStart(Job);
+    Waiting.push_back(
+        {Latest < Now,
+         Latest + Options.PriorityLead_ * Job.Request_.Priority_, Key});
   }
   std::sort(Waiting.begin(), Waiting.end(), [](const Entry &A, const Entry &B) {
     return std::tie(A.IsLate_, A.LatestStart_, A.Key_) <
@@ -226,9 +235,8 @@
 
 static void placeJob(FleetTurn &T, PlacerJob &Job, double Usual) {
   PlacerState &Placing = T.State_.Placing_;
-  const Milliseconds Latest = Job.ObjectiveAt_ - Job.Request_.Estimate_;
   TaskWish Wish{.Job_ = Job, .UsualSlowness_ = Usual};
-  if (Latest >= T.Now_)
+  if (latestStart(Job) >= T.Now_)
     Wish.EndBefore_ = Job.ObjectiveAt_;
   Placed Answer{.Job_ = Job.Request_.Job_};
   std::vector<uint32_t> &Tasks = Job.Request_.Tasks_;
@@ -249,19 +257,27 @@
 
 void placeTasks(FleetTurn &T) {
   PlacerState &Placing = T.State_.Placing_;
-  const std::vector<PlacerJobKey> Order = waitingOrder(Placing, T.Now_);
+  const PlacerOptions &Options = T.State_.Options_.Placer_;
+  const std::vector<PlacerJobKey> Order =
+      waitingOrder(Placing, Options, T.Now_);
   if (Order.empty())
     return;
   const double Usual = usualSlowness(T);
+  // Jobs that can be in time wait for room. A late one that has not begun would
+  // be held for nothing, or take room from them.
+  bool IsOverloaded = false;
   for (const PlacerJobKey &Key : Order) {
-    const auto Found = Placing.Jobs_.find(Key);
-    if (Found == Placing.Jobs_.end())
-      continue;
-    PlacerJob &Job = Found->second;
+    PlacerJob &Job = Placing.Jobs_.at(Key);
+    const bool IsLate = latestStart(Job) < T.Now_;
     if (T.Now_ + Job.Request_.Estimate_ > Job.GiveUpAt_)
       refuse(T, Job, "too little time is left");
+    else if (IsLate && IsOverloaded && Options.RefusesLate_ &&
+             Job.Reservations_.empty())
+      refuse(T, Job, "late, while others can be in time");
     else
       placeJob(T, Job, Usual);
+    IsOverloaded =
+        IsOverloaded || (!IsLate && !Job.Request_.Tasks_.empty());
     forgetIfDone(Placing, Key);
   }
 }
--- /dev/null
+++ b/coordination/test/Simulation/FleetLoad.cpp
@@ -0,0 +1,46 @@
+/// \file
+/// \brief Plays the users' load on virtual time and prints what callers got.
+
+#include "Simulation/FleetWorld.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+using namespace marjorambend;
+using namespace marjorambend::test;
+
+static void printResult(const char *Name, double Load,
+                        const FleetWorldResult &Result) {
+  std::printf("%-8s load %.2f worth %.3f starts %llu rejected %llu", Name, Load,
+              Result.WorthShare_,
+              static_cast<unsigned long long>(Result.Starts_),
+              static_cast<unsigned long long>(Result.RejectedStarts_));
+  for (const auto &[Kind, Got] : Result.Kinds_)
+    std::printf(" | %s %.3f refused %llu late %llu unserved %llu of %llu",
+                Kind.c_str(), Got.WorthEarned_ / Got.WorthAsked_,
+                static_cast<unsigned long long>(Got.Refused_),
+                static_cast<unsigned long long>(Got.Late_),
+                static_cast<unsigned long long>(Got.Unserved_),
+                static_cast<unsigned long long>(Got.Asked_));
+  std::printf("\n");
+}
+
+// Usage: fleet_load [SEED [LENGTH_MS]]
+int main(int Count, char **Arguments) {
+  const uint64_t Seed = Count > 1 ? std::strtoull(Arguments[1], nullptr, 10) : 1;
+  const int64_t Length = Count > 2 ? std::strtoll(Arguments[2], nullptr, 10) : 15'000;
+  for (const double Load : {0.65, 1.1, 1.43, 1.8}) {
+    const FleetWorldOptions Options{.Seed_ = Seed,
+                                    .Kinds_ = agenciaKinds(Load),
+                                    .LoadUntil_ = {3'000 + Length},
+                                    .Length_ = {3'000 + Length + 20'000}};
+    printResult("steady", Load, FleetWorld(Options).run());
+  }
+  FleetWorldOptions Burst{.Seed_ = Seed,
+                          .Kinds_ = agenciaKinds(0.9),
+                          .Peaks_ = {{{6'000}, {10'000}, 2.0, "certpeso"}},
+                          .LoadUntil_ = {3'000 + Length},
+                          .Length_ = {3'000 + Length + 20'000}};
+  printResult("burst", 0.9, FleetWorld(Burst).run());
+}
--- a/coordination/test/Simulation/FleetPromises.cpp
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -75,6 +75,42 @@
   }));
 }
 
+// Each world has shown a fault once.
+TEST(FleetPromises_, WorldsThatHaveFailedBefore) {
+  for (const uint64_t Seed : {
+           10ULL,                // acted on an event after a pause
+           49ULL,                // an order to an old life, carried out late
+           1175991ULL,           // the same, passed in the next life
+           32156404837ULL,       // runs in a new life counted as lost
+           399959844232ULL,      // a late order before the first look
+           23628045652574827ULL, // a submission that waited in a frozen socket
+           162411772646ULL,      // a late order, a lost holder, a cut
+           10589248395ULL        // detection and lease outlast the resend
+       }) {
+    const FleetWorldResult Result = FleetWorld(anyFaults(Seed)).run();
+    STRCMP_EQUAL("", join(Result.Violations_).c_str());
+  }
+}
+
+static bool isCaught(FleetPlant Plant) {
+  for (uint64_t Seed = 1; Seed <= 150; ++Seed) {
+    FleetWorldOptions Options = anyFaults(Seed);
+    Options.Plant_ = Plant;
+    if (!FleetWorld(Options).run().Violations_.empty())
+      return true;
+  }
+  return false;
+}
+
+TEST(FleetPromises_, PlantedMistakesAreCaught) {
+  CHECK(isCaught(FleetPlant::NeverStop));
+  CHECK(isCaught(FleetPlant::RestartUnknownStart));
+  CHECK(isCaught(FleetPlant::IgnoreDrains));
+  CHECK(isCaught(FleetPlant::SayNotRun));
+  CHECK(isCaught(FleetPlant::LongLeases));
+  CHECK(isCaught(FleetPlant::NoFences));
+}
+
 int main(int Count, char **Arguments) {
   return runTests(Count, Arguments, 40);
 }
--- a/coordination/test/Simulation/FleetWorld.cpp
+++ b/coordination/test/Simulation/FleetWorld.cpp
@@ -117,6 +117,7 @@
   Options.Name_ = Starting.Name_;
   Options.DataCentre_ = Starting.DataCentre_;
   Options.CpuShare_ = Index == 0 ? 620 : 250;
+  Options.Placer_ = Options_.Placer_;
   if (Options_.Plant_ == FleetPlant::LongLeases)
     Options.Holder_.Lease_ = {10'000};
   Starting.State_ = std::make_unique<FleetInstance>(
@@ -224,10 +225,22 @@
 }
 
 void FleetWorld::plantInto(FleetActions &Wanted) const {
-  if (Options_.Plant_ == FleetPlant::KeepStrangers)
+  if (Options_.Plant_ == FleetPlant::NeverStop)
     std::erase_if(Wanted, [](const FleetAction &One) {
       return std::holds_alternative<StopRun>(One);
     });
+  for (FleetAction &One : Wanted) {
+    if (Options_.Plant_ == FleetPlant::NoFences) {
+      if (auto *Look = std::get_if<LookAtWorker>(&One))
+        Look->Worker_.Fence_ = 0;
+      if (auto *Start = std::get_if<StartRun>(&One))
+        Start->Worker_.Fence_ = 0;
+    }
+    auto *Answer = std::get_if<AnswerJob>(&One);
+    if (Options_.Plant_ == FleetPlant::SayNotRun && Answer != nullptr &&
+        Answer->Outcome_ == JobOutcome::MayHaveRun)
+      Answer->Outcome_ = JobOutcome::NotRun;
+  }
 }
 
 void FleetWorld::carryOut(std::size_t Index, FleetActions Wanted) {
--- a/coordination/test/Simulation/FleetWorld.h
+++ b/coordination/test/Simulation/FleetWorld.h
@@ -39,11 +39,12 @@
 /// \brief Mistakes that can be planted, to see that the checks find them.
 enum class FleetPlant : uint8_t {
   None,
-  KeepRunsOfLostOrigin, ///< Runs go on as their origin's session ends.
-  KeepStrangers,        ///< A new holder leaves what the old one started.
-  RestartUnknownStart,  ///< A start without an answer counts as not started.
-  IgnoreDrains,
-  LongLeases ///< Orders carry leases of ten seconds.
+  NeverStop,           ///< Stops are not sent.
+  NoFences,            ///< Orders carry no token.
+  RestartUnknownStart, ///< A start without an answer counts as not started.
+  IgnoreDrains,        ///< The list does not say that a worker drains.
+  SayNotRun,           ///< Every job that is given up is called not run.
+  LongLeases           ///< Leases outlast the resending of a lost job.
 };
 
 /// \brief What happens in a world of the fleet.
@@ -76,6 +77,7 @@
   double FailRun_ = 0.002;
   double LeaveEarly_ = 0; ///< Callers that leave before their time.
   FleetPlant Plant_ = FleetPlant::None;
+  PlacerOptions Placer_;
 };
 
 /// \brief What callers of one kind got.
