Test the fleet's parts one by one; choose among workers that are really similar

Cause, found by the test of the caller's data centre: run times counted as similar by fixed steps, so that 100 and 105 ms could differ and 105 and 139 ms not. They are compared with the shortest one.

--- a/coordination/marjorambend/src/Fleet/Placement.cpp
+++ b/coordination/marjorambend/src/Fleet/Placement.cpp
@@ -1,7 +1,8 @@
 #include "marjorambend/src/Fleet/Placement.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
+#include <vector>
 
 namespace marjorambend {
 namespace internal {
@@ -46,34 +47,51 @@
       static_cast<double>(Job.Request_.Estimate_.Count_) * Factor)};
 }
 
+namespace internal {
+
+static bool canTakeNow(const PlacerWorker &Worker, const std::string &Id,
+                       const TaskWish &Wish, Milliseconds Now) {
+  // The cheapest tests come first: most workers are full when it matters.
+  const PlacerJob &Job = Wish.Job_;
+  const Room Free = Worker.Held_.Report_.Capacity_ - Worker.Reserved_;
+  if (!fits(Job.Request_.Needs_, Free) || !Worker.Held_.IsOpen_ ||
+      Worker.BackOffUntil_ > Now || !isEligible(Job, Worker) ||
+      isCrowded(Job, Id))
+    return false;
+  return !Wish.EndBefore_ ||
+         Now + expectedRun(Job, Worker, Wish.UsualSlowness_) <=
+             *Wish.EndBefore_;
+}
+
+} // namespace internal
+
 std::map<std::string, PlacerWorker>::iterator
 chooseWorkerFor(std::map<std::string, PlacerWorker> &Workers,
                 const TaskWish &Wish, const PlacerOptions &Options,
                 Milliseconds Now) {
   const PlacerJob &Job = Wish.Job_;
-  auto Best = Workers.end();
-  // Steps of similar run time, then whether it is far, then what is left over.
-  std::tuple<int64_t, bool, int64_t> BestRank;
-  const auto Step = std::max<int64_t>(
-      1, static_cast<int64_t>(
-             static_cast<double>(Job.Request_.Estimate_.Count_) *
-             Options.SimilarRunTime_));
+  std::vector<std::map<std::string, PlacerWorker>::iterator> Able;
+  Milliseconds Shortest{INT64_MAX};
   for (auto It = Workers.begin(); It != Workers.end(); ++It) {
-    const PlacerWorker &Worker = It->second;
-    // The cheapest tests come first: most workers are full when it matters.
-    const Room Free = Worker.Held_.Report_.Capacity_ - Worker.Reserved_;
-    if (!fits(Job.Request_.Needs_, Free) || !Worker.Held_.IsOpen_ ||
-        Worker.BackOffUntil_ > Now || !isEligible(Job, Worker) ||
-        internal::isCrowded(Job, It->first))
+    if (!internal::canTakeNow(It->second, It->first, Wish, Now))
       continue;
-    const Milliseconds Run = expectedRun(Job, Worker, Wish.UsualSlowness_);
-    if (Wish.EndBefore_ && Now + Run > *Wish.EndBefore_)
+    Able.push_back(It);
+    Shortest = std::min(
+        Shortest, expectedRun(Job, It->second, Wish.UsualSlowness_));
+  }
+  const auto Similar = static_cast<double>(Shortest.Count_) *
+                       (1.0 + Options.SimilarRunTime_);
+  auto Best = Workers.end();
+  std::pair<bool, int64_t> BestRank; // whether it is far, what is left over
+  for (const auto It : Able) {
+    const Milliseconds Run =
+        expectedRun(Job, It->second, Wish.UsualSlowness_);
+    if (static_cast<double>(Run.Count_) > Similar)
       continue;
-    const bool IsFar =
-        Worker.Held_.Report_.DataCentre_ != Job.OriginDataCentre_;
-    const std::tuple<int64_t, bool, int64_t> Rank{
-        Run.Count_ / Step, IsFar,
-        Free.MilliCores_ - Job.Request_.Needs_.MilliCores_};
+    const WorkerReport &Report = It->second.Held_.Report_;
+    const std::pair<bool, int64_t> Rank{
+        Report.DataCentre_ != Job.OriginDataCentre_,
+        Report.Capacity_.MilliCores_ - It->second.Reserved_.MilliCores_};
     if (Best == Workers.end() || Rank < BestRank) {
       Best = It;
       BestRank = Rank;
--- /dev/null
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -0,0 +1,154 @@
+#include "TestMain.h"
+
+#include "Fleet/Story.h"
+
+using namespace marjorambend;
+using namespace marjorambend::test;
+
+TEST_GROUP(AWorkerThatIsHeld) {
+  Story S_;
+  const RunId Run_{7, 0, 1};
+  void setup() override { S_.prepare(); }
+
+  /// A job of one task that runs on the worker.
+  void startTask() {
+    expectCount<StartRun>(1, S_.give(S_.job()));
+    S_.startAnswered(OrderResult::Accepted);
+  }
+};
+
+TEST(AWorkerThatIsHeld, RunsATaskToItsEnd) {
+  startTask();
+  const auto Answers =
+      only<AnswerJob>(S_.list({}, {{1, Run_, RunEnd::Done}}));
+  LONGS_EQUAL(1, Answers.size());
+  CHECK(Answers[0].Outcome_ == JobOutcome::Completed);
+  LONGS_EQUAL(1, S_.LastLook_.AckedThrough_);
+}
+
+TEST(AWorkerThatIsHeld, IsFencedOffAndEmptiedBeforeItTakesWork) {
+  Story Other;
+  Other.give(WorkersRead{{Story::worker()}});
+  Other.pass(700);
+  const RunId Stranger{9, 0, 1};
+  const auto Stops = only<StopRun>(Other.list({Stranger}));
+  LONGS_EQUAL(1, Stops.size());
+  CHECK(Stops[0].Run_ == Stranger);
+  CHECK(Other.State_.Holds_.at("w").Phase_ == HoldPhase::Claiming);
+  Other.pass(40);
+  Other.list({});
+  CHECK(Other.State_.Holds_.at("w").Phase_ == HoldPhase::Open);
+}
+
+TEST(AWorkerThatIsHeld, HasAStartWithoutAnswerStoppedBeforeItStartsAgain) {
+  S_.give(S_.job());
+  const FleetActions Then = S_.startAnswered(OrderResult::Unknown);
+  LONGS_EQUAL(1, only<StopRun>(Then).size());
+  LONGS_EQUAL(0, only<StartRun>(Then).size());
+  // The stop is confirmed; a look sent after it does not list the run.
+  S_.give(StopAnswered{"w", Run_, OrderResult::Accepted, std::nullopt});
+  S_.list({});
+  const auto Starts = only<StartRun>(S_.list({}));
+  LONGS_EQUAL(1, Starts.size());
+  LONGS_EQUAL(2, Starts[0].Run_.Attempt_);
+}
+
+TEST(AWorkerThatIsHeld, IsNotRenewedForAnOriginThatIsSilent) {
+  S_.meet(2);
+  S_.give(InstanceSaid{{2},
+                       StartOrder{.Job_ = 1,
+                                  .Run_ = Run_,
+                                  .Worker_ = "w",
+                                  .Needs_ = {27'000, 64, 0},
+                                  .Estimate_ = {1'000},
+                                  .Spec_ = "spec"}});
+  S_.startAnswered(OrderResult::Accepted);
+  S_.list({Run_});
+  CHECK(S_.LastLook_.LeaseEnd_.Count_ != 0);
+  S_.pass(300);
+  S_.list({Run_});
+  LONGS_EQUAL(0, S_.LastLook_.LeaseEnd_.Count_);
+}
+
+TEST(AWorkerThatIsHeld, StopsTheRunsOfAnOriginThatIsGone) {
+  S_.meet(2);
+  S_.give(InstanceSaid{{2},
+                       StartOrder{.Job_ = 1,
+                                  .Run_ = Run_,
+                                  .Worker_ = "w",
+                                  .Needs_ = {27'000, 64, 0},
+                                  .Estimate_ = {1'000}}});
+  S_.startAnswered(OrderResult::Accepted);
+  const auto Stops = only<StopRun>(S_.give(InstanceDown{{2}}));
+  LONGS_EQUAL(1, Stops.size());
+}
+
+TEST(AWorkerThatIsHeld, TakesAHigherTokenInItsNextLife) {
+  const uint64_t Before = S_.State_.Holds_.at("w").Fence_;
+  S_.pass(100);
+  S_.list({}, {}, 2);
+  CHECK(S_.State_.Holds_.at("w").Fence_ > Before);
+  CHECK(S_.LastLook_.Worker_.Fence_ > Before);
+}
+
+TEST(AWorkerThatIsHeld, KeepsARunThatItsNextLifeLists) {
+  startTask();
+  expectCount<StartRun>(0, S_.list({Run_}, {}, 2));
+  CHECK(S_.State_.Holds_.at("w").Runs_.contains(Run_));
+}
+
+TEST(AWorkerThatIsHeld, GetsNoNewWorkOnceItDrains) {
+  WorkerReport Draining = Story::worker();
+  Draining.IsDraining_ = true;
+  S_.give(WorkersRead{{Draining}});
+  expectCount<StartRun>(0, S_.give(S_.job()));
+}
+
+TEST(AWorkerThatIsHeld, ThatGoesSilentLosesItsRunsOnlyAfterTheirLease) {
+  startTask();
+  for (int Failure = 0; Failure < 2; ++Failure) {
+    S_.give(WorkerListed{.Worker_ = "w", .Look_ = S_.LastLook_.Look_});
+    S_.pass(120);
+  }
+  CHECK(S_.State_.Holds_.at("w").Phase_ == HoldPhase::Suspect);
+  S_.pass(500);
+  LONGS_EQUAL(1, S_.State_.Holds_.at("w").Runs_.size());
+  S_.pass(600);
+  LONGS_EQUAL(0, S_.State_.Holds_.at("w").Runs_.size());
+}
+
+TEST(AWorkerThatIsHeld, IsEjectedAfterFailuresOfDifferentJobs) {
+  for (uint64_t Id = 1; Id <= 3; ++Id) {
+    S_.give(S_.job(Id, Id));
+    S_.startAnswered(OrderResult::Accepted, {Id, 0, 1});
+    S_.list({}, {{Id, {Id, 0, 1}, RunEnd::Failed}});
+    S_.give(JobCancel{Id});
+    S_.startAnswered(OrderResult::NotDelivered, {Id, 0, 2});
+    S_.pass(60);
+  }
+  CHECK(S_.State_.Holds_.at("w").EjectedUntil_ > S_.Now_);
+}
+
+TEST(AWorkerThatIsHeld, IsNotEjectedByOneJobThatAlwaysFails) {
+  S_.give(S_.job(5, 5, 4));
+  for (uint32_t Task = 0; Task < 2; ++Task) {
+    S_.startAnswered(OrderResult::Accepted, {5, Task, 1});
+    S_.list({}, {{Task + 1, {5, Task, 1}, RunEnd::Failed}});
+  }
+  LONGS_EQUAL(1, S_.State_.Holds_.at("w").BadInRow_);
+}
+
+TEST(AWorkerThatIsHeld, HasARunWithoutProgressStopped) {
+  startTask();
+  WorkerListed Lists{.Worker_ = "w",
+                     .Result_ = OrderResult::Accepted,
+                     .Life_ = 1,
+                     .Running_ = {{Run_, 40}}};
+  FleetActions Last;
+  for (int Round = 0; Round < 4; ++Round) {
+    Lists.Look_ = S_.LastLook_.Look_;
+    Last = S_.give(Lists);
+    S_.pass(200);
+  }
+  CHECK(S_.State_.Holds_.at("w").Runs_.at(Run_).Phase_ == RunPhase::Stopping);
+}
--- /dev/null
+++ b/coordination/test/Fleet/OriginTests.cpp
@@ -0,0 +1,105 @@
+#include "TestMain.h"
+
+#include "Fleet/Story.h"
+
+using namespace marjorambend;
+using namespace marjorambend::test;
+
+static JobOutcome outcomeOf(const FleetActions &Wanted) {
+  const auto Answers = only<AnswerJob>(Wanted);
+  CHECK(!Answers.empty());
+  return Answers.front().Outcome_;
+}
+
+TEST_GROUP(AJobAtItsOrigin) {
+  Story S_;
+  void setup() override { S_.prepare(); }
+};
+
+TEST(AJobAtItsOrigin, IsRefusedAsNotRunBeforeThereIsAConfiguration) {
+  Story New;
+  CHECK(outcomeOf(New.give(New.job())) == JobOutcome::NotRun);
+}
+
+TEST(AJobAtItsOrigin, HasToHaveARoute) {
+  JobSubmission Lost = S_.job();
+  Lost.Path_ = "/elsewhere/";
+  CHECK(outcomeOf(S_.give(Lost)) == JobOutcome::NoSuchRoute);
+}
+
+TEST(AJobAtItsOrigin, IsJoinedByItsResubmission) {
+  S_.give(S_.job(7, 1));
+  const FleetActions Again = S_.give(S_.job(7, 2));
+  LONGS_EQUAL(0, only<StartRun>(Again).size());
+  S_.startAnswered(OrderResult::Accepted);
+  const FleetActions End = S_.list({}, {{1, {7, 0, 1}, RunEnd::Done}});
+  LONGS_EQUAL(2, only<AnswerJob>(End).size());
+}
+
+TEST(AJobAtItsOrigin, IsStoppedAtOnceWhenItsCallerLeaves) {
+  S_.give(S_.job());
+  S_.startAnswered(OrderResult::Accepted);
+  expectCount<StopRun>(1, S_.give(JobAbandoned{1}));
+}
+
+TEST(AJobAtItsOrigin, GivenUpBeforeAnyStartIsNotRun) {
+  WorkerReport Draining = Story::worker();
+  Draining.IsDraining_ = true;
+  S_.give(WorkersRead{{Draining}});
+  S_.give(S_.job());
+  const auto Answers = only<AnswerJob>(S_.pass(2'100));
+  LONGS_EQUAL(1, Answers.size());
+  CHECK(Answers[0].Outcome_ == JobOutcome::NotRun);
+  CHECK(Answers[0].RetryAfter_.Count_ > 0);
+}
+
+TEST(AJobAtItsOrigin, GivenUpAfterAStartMayHaveRun) {
+  S_.give(S_.job());
+  S_.startAnswered(OrderResult::Accepted);
+  S_.list({{7, 0, 1}});
+  const auto Answers = only<AnswerJob>(S_.pass(2'100));
+  LONGS_EQUAL(1, Answers.size());
+  CHECK(Answers[0].Outcome_ == JobOutcome::MayHaveRun);
+}
+
+TEST(AJobAtItsOrigin, FailsWhenATaskHasFailedAsOftenAsItsRouteAllows) {
+  S_.give(S_.job());
+  S_.startAnswered(OrderResult::Accepted);
+  const FleetActions First = S_.list({}, {{1, {7, 0, 1}, RunEnd::Failed}});
+  LONGS_EQUAL(0, only<AnswerJob>(First).size());
+  LONGS_EQUAL(1, only<StartRun>(First).size());
+  S_.startAnswered(OrderResult::Accepted, {7, 0, 2});
+  CHECK(outcomeOf(S_.list({}, {{2, {7, 0, 2}, RunEnd::Failed}})) ==
+        JobOutcome::Failed);
+}
+
+TEST(AJobAtItsOrigin, IsTakenAfterAnOrderToStopForAWhileOnly) {
+  S_.give(FleetStop{});
+  S_.pass(2'000);
+  S_.give(S_.job(8, 8));
+  S_.pass(600);
+  CHECK(outcomeOf(S_.give(S_.job(9, 9))) == JobOutcome::NotRun);
+}
+
+TEST(AJobAtItsOrigin, GetsItsAnswerWhenAStopIsForced) {
+  S_.give(S_.job());
+  S_.startAnswered(OrderResult::Accepted);
+  S_.give(FleetStop{});
+  CHECK(outcomeOf(S_.give(FleetStopForced{})) == JobOutcome::MayHaveRun);
+}
+
+TEST(AJobAtItsOrigin, IsGivenUpByAnyEventAfterAPause) {
+  S_.give(S_.job());
+  S_.startAnswered(OrderResult::Accepted);
+  S_.freeze(1'000);
+  const FleetActions Woken = S_.give(WorkersUnknown{});
+  CHECK(outcomeOf(Woken) == JobOutcome::MayHaveRun);
+  LONGS_EQUAL(1, only<StopRun>(Woken).size());
+}
+
+TEST(AJobAtItsOrigin, IsRefusedJustAfterAPause) {
+  S_.freeze(1'000);
+  CHECK(outcomeOf(S_.give(S_.job())) == JobOutcome::NotRun);
+  S_.pass(120);
+  expectCount<AnswerJob>(0, S_.give(S_.job(8, 8)));
+}
--- /dev/null
+++ b/coordination/test/Fleet/PlacementTests.cpp
@@ -0,0 +1,86 @@
+#include "TestMain.h"
+
+#include <marjorambend/Fleet>
+
+using namespace marjorambend;
+
+TEST_GROUP(AWorkerForATask) {
+  std::map<std::string, PlacerWorker> Workers_;
+  PlacerJob Job_;
+  PlacerOptions Options_;
+
+  void setup() override {
+    Job_.Request_.Service_ = "s";
+    Job_.Request_.Needs_ = {20'000, 64, 0};
+    Job_.Request_.Estimate_ = {100};
+    Job_.OriginDataCentre_ = "near";
+  }
+  PlacerWorker &add(const std::string &Id, double Slowness, int64_t Free,
+                    std::string DataCentre = "near") {
+    PlacerWorker &Worker = Workers_[Id];
+    Worker.Held_ = {.Report_ = {.Id_ = Id,
+                                .Service_ = "s",
+                                .DataCentre_ = std::move(DataCentre),
+                                .Capacity_ = {64'000, 1'000, 0}},
+                    .IsOpen_ = true,
+                    .Slowness_ = Slowness};
+    Worker.Reserved_ = {64'000 - Free, 0, 0};
+    return Worker;
+  }
+  std::string choose(std::optional<Milliseconds> EndBefore = std::nullopt) {
+    const auto Found = chooseWorkerFor(
+        Workers_, {.Job_ = Job_, .EndBefore_ = EndBefore}, Options_, {0});
+    return Found == Workers_.end() ? "none" : Found->first;
+  }
+};
+
+TEST(AWorkerForATask, IsTheFastest) {
+  add("slow", 2.0, 64'000);
+  add("fast", 1.0, 64'000);
+  STRCMP_EQUAL("fast", choose().c_str());
+}
+
+TEST(AWorkerForATask, IsNotOneThatWouldEndItTooLate) {
+  add("slow", 2.0, 64'000);
+  STRCMP_EQUAL("slow", choose().c_str());
+  STRCMP_EQUAL("none", choose(Milliseconds{150}).c_str());
+}
+
+TEST(AWorkerForATask, IsInTheCallersDataCentreIfThatIsAsFast) {
+  add("far", 1.0, 21'000, "far");
+  add("near", 1.05, 64'000);
+  STRCMP_EQUAL("near", choose().c_str());
+}
+
+TEST(AWorkerForATask, IsTheOneWithTheTightestFit) {
+  add("empty", 1.0, 64'000);
+  add("tight", 1.0, 21'000);
+  add("full", 1.0, 19'000);
+  STRCMP_EQUAL("tight", choose().c_str());
+}
+
+TEST(AWorkerForATask, IsOpenAndOfTheServiceAndHasTheLabel) {
+  add("closed", 1.0, 64'000).Held_.IsOpen_ = false;
+  add("other", 1.0, 64'000).Held_.Report_.Service_ = "t";
+  add("busy", 1.0, 64'000).BackOffUntil_ = {10};
+  STRCMP_EQUAL("none", choose().c_str());
+  add("plain", 1.0, 64'000);
+  Job_.Request_.Label_ = "gpu";
+  STRCMP_EQUAL("none", choose().c_str());
+  add("labelled", 1.0, 64'000).Held_.Report_.Labels_ = {"gpu"};
+  STRCMP_EQUAL("labelled", choose().c_str());
+}
+
+TEST(AWorkerForATask, HasNoMoreTasksOfItsJobThanAllowed) {
+  add("a", 1.0, 64'000);
+  Job_.Request_.MaxPerWorker_ = 1;
+  Job_.Reservations_ = {{0, "a"}};
+  STRCMP_EQUAL("none", choose().c_str());
+}
+
+TEST(AWorkerForATask, HoldsItsDataIfThatIsFaster) {
+  add("away", 1.0, 64'000);
+  add("home", 1.3, 64'000).Held_.Report_.Labels_ = {"r1"};
+  Job_.Request_.DataRack_ = "r1";
+  STRCMP_EQUAL("home", choose().c_str());
+}
--- /dev/null
+++ b/coordination/test/Fleet/Story.h
@@ -0,0 +1,136 @@
+#ifndef MARJORAMBEND_TEST_FLEET_STORY_H
+#define MARJORAMBEND_TEST_FLEET_STORY_H
+
+#include <marjorambend/Fleet>
+#include <string>
+#include <vector>
+
+namespace marjorambend::test {
+
+/// \brief One instance that holds one worker, step by step.
+class Story {
+public:
+  explicit Story(FleetOptions Options = {.Name_ = "a", .DataCentre_ = "dc"})
+      : State_(makeFleetInstance(Options, Options.Name_.front())) {
+    pass(0);
+  }
+
+  FleetActions give(FleetEvent Event) {
+    FleetActions Wanted = step(State_, std::move(Event), Now_);
+    for (const FleetAction &One : Wanted) {
+      if (const auto *Look = std::get_if<LookAtWorker>(&One))
+        LastLook_ = *Look;
+    }
+    return Wanted;
+  }
+
+  /// \brief Lets time pass with ticks, and returns what was wanted meanwhile.
+  FleetActions pass(int64_t Time) {
+    FleetActions All = give(FleetTick{WallStart + Now_});
+    for (int64_t Step = 20; Step <= Time; Step += 20) {
+      Now_ = Now_ + Milliseconds{20};
+      for (FleetAction &One : give(FleetTick{WallStart + Now_}))
+        All.push_back(std::move(One));
+    }
+    return All;
+  }
+
+  /// \brief Time in which the instance stands still.
+  void freeze(int64_t Time) { Now_ = Now_ + Milliseconds{Time}; }
+
+  static WorkerReport worker(std::string Id = "w") {
+    return {.Id_ = std::move(Id),
+            .Service_ = "service",
+            .Address_ = "10.0.0.1",
+            .Port_ = 80,
+            .DataCentre_ = "dc",
+            .Capacity_ = {64'000, 100'000, 0},
+            .Life_ = 1};
+  }
+
+  /// \brief Configuration, a worker, its claim and its empty lists.
+  void prepare() {
+    give(ConfigRead{.Config_ = {.Version_ = 1,
+                                .Routes_ = {{.Name_ = "r",
+                                             .Host_ = "h",
+                                             .Prefix_ = "/p/",
+                                             .Service_ = "service",
+                                             .MaxAttempts_ = 2,
+                                             .StretchFactor_ = 1.6,
+                                             .TargetLatency_ = {60}}}}});
+    give(WorkersRead{{worker()}});
+    pass(700);
+    list({});
+  }
+
+  /// \brief The worker answers the look that is under way.
+  FleetActions list(std::vector<RunId> Running,
+                    std::vector<ListedEnd> Ended = {}, int64_t Life = 1) {
+    WorkerListed Lists{.Worker_ = "w",
+                       .Look_ = LastLook_.Look_,
+                       .Result_ = OrderResult::Accepted,
+                       .Life_ = Life,
+                       .WorkerClock_ = Milliseconds{5'000} + Now_,
+                       .Ended_ = std::move(Ended)};
+    for (const RunId &Run : Running)
+      Lists.Running_.push_back({Run, ++Progress_});
+    return give(Lists);
+  }
+
+  JobSubmission job(uint64_t Id = 7, uint64_t Token = 1, uint32_t Tasks = 1) {
+    return {.Token_ = Token,
+            .Id_ = Id,
+            .Host_ = "h",
+            .Path_ = "/p/",
+            .Spec_ = "spec",
+            .Tasks_ = Tasks,
+            .Needs_ = {27'000, 64, 0},
+            .Estimate_ = {100},
+            .Patience_ = {2'000}};
+  }
+
+  FleetActions startAnswered(OrderResult Result, RunId Run = {7, 0, 1}) {
+    return give(StartAnswered{"w", Run, Result, Milliseconds{5'000} + Now_});
+  }
+
+  /// \brief Another instance, as the holder's peer.
+  FleetActions meet(uint64_t Run, std::string DataCentre = "dc") {
+    FleetActions Wanted =
+        give(InstanceUp{{.Run_ = {Run},
+                         .Name_ = "z" + std::to_string(Run),
+                         .DataCentre_ = std::move(DataCentre)}});
+    give(InstanceSaid{{Run}, InstanceStatus{.IsReady_ = true}});
+    return Wanted;
+  }
+
+  FleetInstance State_;
+  Milliseconds Now_{10'000};
+  LookAtWorker LastLook_;
+
+private:
+  static constexpr Milliseconds WallStart{1'700'000'000'000};
+  double Progress_ = 0;
+};
+
+/// \brief The actions of one type.
+template <typename Wanted>
+std::vector<Wanted> only(const FleetActions &All) {
+  std::vector<Wanted> Found;
+  for (const FleetAction &One : All) {
+    if (const auto *Same = std::get_if<Wanted>(&One))
+      Found.push_back(*Same);
+  }
+  return Found;
+}
+
+/// \brief Checks how many actions of one type are wanted. CppUTest's own
+/// macro would give the event twice.
+template <typename Wanted>
+void expectCount(std::size_t Expected, const FleetActions &All) {
+  const std::size_t Found = only<Wanted>(All).size();
+  LONGS_EQUAL(Expected, Found);
+}
+
+} // namespace marjorambend::test
+
+#endif // MARJORAMBEND_TEST_FLEET_STORY_H
