--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -168,7 +168,7 @@
   FleetInstance &State = T.State_;
   State.Members_[Up.Info_.Run_] = {.Info_ = Up.Info_, .HeardAt_ = T.Now_};
   log(T, "instance_up", 0,
-      {{"instance", Up.Info_.Name_}, {"data_centre", Up.Info_.DataCentre_}});
+      {{"other", Up.Info_.Name_}, {"data_centre", Up.Info_.DataCentre_}});
   tell(T, Up.Info_.Run_,
        InstanceStatus{.IsReady_ = isReady(State),
                       .IsStopping_ = State.IsStopping_});
@@ -181,7 +181,7 @@
   if (Found == State.Members_.end())
     return;
   log(T, "instance_down", 0,
-      {{"instance", Found->second.Info_.Name_},
+      {{"other", Found->second.Info_.Name_},
        {"silent_ms", text(T.Now_ - Found->second.HeardAt_)}});
   State.Members_.erase(Found);
   forgetInstance(T, Run);
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -437,7 +437,7 @@
     return;
   const Incarnation Before = State.Placer_;
   State.Placer_ = Chosen;
-  log(T, "placer", 0, {{"instance", Best == nullptr ? State.Self_.Name_ : Best->Name_}});
+  log(T, "placer", 0, {{"other", Best == nullptr ? State.Self_.Name_ : Best->Name_}});
   moveToPlacer(T, Before);
 }
 
--- a/coordination/marjorambend/src/Fleet/Placement.cpp
+++ b/coordination/marjorambend/src/Fleet/Placement.cpp
@@ -51,7 +51,6 @@
 
 static bool canTakeNow(const PlacerWorker &Worker, const std::string &Id,
                        const TaskWish &Wish, Milliseconds Now) {
-  // The cheapest tests come first: most workers are full when it matters.
   const PlacerJob &Job = Wish.Job_;
   const Room Free = Worker.Held_.Report_.Capacity_ - Worker.Reserved_;
   if (!fits(Job.Request_.Needs_, Free) || !Worker.Held_.IsOpen_ ||
@@ -66,13 +65,17 @@
 } // namespace internal
 
 std::map<std::string, PlacerWorker>::iterator
-chooseWorkerFor(std::map<std::string, PlacerWorker> &Workers,
-                const TaskWish &Wish, const PlacerOptions &Options,
-                Milliseconds Now) {
+chooseWorkerFor(PlacerState &Placing, const TaskWish &Wish,
+                const PlacerOptions &Options, Milliseconds Now) {
   const PlacerJob &Job = Wish.Job_;
+  std::map<std::string, PlacerWorker> &Workers = Placing.Workers_;
   std::vector<std::map<std::string, PlacerWorker>::iterator> Able;
   Milliseconds Shortest{INT64_MAX};
-  for (auto It = Workers.begin(); It != Workers.end(); ++It) {
+  // Most workers are full when it matters.
+  for (auto Free = Placing.ByFree_.lower_bound(
+           {Job.Request_.Needs_.MilliCores_, std::string()});
+       Free != Placing.ByFree_.end(); ++Free) {
+    const auto It = Workers.find(Free->second);
     if (!internal::canTakeNow(It->second, It->first, Wish, Now))
       continue;
     Able.push_back(It);
--- a/coordination/marjorambend/src/Fleet/Placement.h
+++ b/coordination/marjorambend/src/Fleet/Placement.h
@@ -26,12 +26,11 @@
 /// \brief Chooses a worker with room: the shortest expected run, among similar
 /// ones a worker of the caller's data centre, among those the tightest fit.
 ///
-/// \returns the worker's entry, or the end of \p Workers if none will do.
+/// \returns the worker's entry, or the end of the workers if none will do.
 /// \sa PlacerOptions::SimilarRunTime_
 std::map<std::string, PlacerWorker>::iterator
-chooseWorkerFor(std::map<std::string, PlacerWorker> &Workers,
-                const TaskWish &Wish, const PlacerOptions &Options,
-                Milliseconds Now);
+chooseWorkerFor(PlacerState &Placing, const TaskWish &Wish,
+                const PlacerOptions &Options, Milliseconds Now);
 
 /// \brief Whether \p Worker could run tasks of \p Job when it is empty.
 bool isEligible(const PlacerJob &Job, const PlacerWorker &Worker);
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -9,6 +9,50 @@
 
 namespace marjorambend::internal {
 
+// Keeps the worker's place among the open ones by free room.
+static void indexWorker(PlacerState &Placing, const std::string &Id,
+                        PlacerWorker &Worker) {
+  if (Worker.IndexedFree_ >= 0)
+    Placing.ByFree_.erase({Worker.IndexedFree_, Id});
+  Worker.IndexedFree_ = -1;
+  const int64_t Free = Worker.Held_.Report_.Capacity_.MilliCores_ -
+                       Worker.Reserved_.MilliCores_;
+  if (!Worker.Held_.IsOpen_ || Free < 0)
+    return;
+  Worker.IndexedFree_ = Free;
+  Placing.ByFree_.insert({Free, Id});
+}
+
+static void eraseWorker(PlacerState &Placing, const std::string &Id) {
+  const auto Known = Placing.Workers_.find(Id);
+  if (Known == Placing.Workers_.end())
+    return;
+  if (Known->second.IndexedFree_ >= 0)
+    Placing.ByFree_.erase({Known->second.IndexedFree_, Id});
+  Placing.Workers_.erase(Known);
+}
+
+static void addReserved(PlacerState &Placing, const std::string &Id,
+                        const Room &More) {
+  const auto Found = Placing.Workers_.find(Id);
+  if (Found == Placing.Workers_.end())
+    return;
+  Found->second.Reserved_ = Found->second.Reserved_ + More;
+  indexWorker(Placing, Id, Found->second);
+}
+
+static void unreserve(PlacerState &Placing, const PlacerJob &Job,
+                      const std::string &Worker) {
+  addReserved(Placing, Worker, Room{} - Job.Request_.Needs_);
+  Placing.IsDirty_ = true;
+}
+
+static void stopWaiting(PlacerState &Placing, PlacerJob &Job) {
+  if (Job.Waiting_)
+    Placing.Waiting_.erase(*Job.Waiting_);
+  Job.Waiting_.reset();
+}
+
 void viewWorkers(FleetTurn &T, Incarnation Holder, const WorkersHeld &Held) {
   FleetInstance &State = T.State_;
   for (const HeldWorker &Worker : Held.Workers_) {
@@ -25,6 +69,7 @@
       Known.BackOffUntil_ = {};
     Known.Held_ = Worker;
     Known.Holder_ = Holder;
+    indexWorker(State.Placing_, Id, Known);
   }
   State.Placing_.IsDirty_ = true;
 }
@@ -39,18 +84,10 @@
     const auto Known = State.Placing_.Workers_.find(Id);
     if (Known != State.Placing_.Workers_.end() &&
         Known->second.Holder_ == Holder)
-      State.Placing_.Workers_.erase(Known);
+      eraseWorker(State.Placing_, Id);
   }
 }
 
-static void unreserve(PlacerState &Placing, const PlacerJob &Job,
-                      const std::string &Worker) {
-  const auto Found = Placing.Workers_.find(Worker);
-  if (Found != Placing.Workers_.end())
-    Found->second.Reserved_ = Found->second.Reserved_ - Job.Request_.Needs_;
-  Placing.IsDirty_ = true;
-}
-
 void forgetInstance(FleetTurn &T, Incarnation Run) {
   FleetInstance &State = T.State_;
   PlacerState &Placing = State.Placing_;
@@ -63,12 +100,16 @@
     }
     for (const Reservation &One : It->second.Reservations_)
       unreserve(Placing, It->second, One.Worker_);
-    Placing.Waiting_.erase(It->first);
+    stopWaiting(Placing, It->second);
     It = Placing.Jobs_.erase(It);
   }
-  std::erase_if(Placing.Workers_, [Run](const auto &Entry) {
-    return Entry.second.Holder_ == Run;
-  });
+  std::vector<std::string> Gone;
+  for (const auto &[Id, Worker] : Placing.Workers_) {
+    if (Worker.Holder_ == Run)
+      Gone.push_back(Id);
+  }
+  for (const std::string &Id : Gone)
+    eraseWorker(Placing, Id);
 }
 
 static std::string dataCentreOf(const FleetInstance &State, Incarnation Run) {
@@ -79,6 +120,11 @@
                                        : Found->second.Info_.DataCentre_;
 }
 
+// The last moment at which a task of usual run time ends in time.
+static Milliseconds latestStart(const PlacerJob &Job) {
+  return Job.ObjectiveAt_ - Job.Request_.Estimate_;
+}
+
 void requestPlaces(FleetTurn &T, Incarnation Origin, PlaceRequest Request) {
   PlacerState &Placing = T.State_.Placing_;
   PlacerJob &Job = Placing.Jobs_[{Origin, Request.Job_}];
@@ -92,7 +138,15 @@
   Waiting.insert(Waiting.end(), Request.Tasks_.begin(), Request.Tasks_.end());
   Job.Request_ = std::move(Request);
   Job.Request_.Tasks_ = std::move(Waiting);
-  Placing.Waiting_.insert({Origin, Job.Request_.Job_});
+  stopWaiting(Placing, Job);
+  const Milliseconds Latest = latestStart(Job);
+  Job.Waiting_ = WaitingJob{
+      .Rank_ = Latest + T.State_.Options_.Placer_.PriorityLead_ *
+                            Job.Request_.Priority_,
+      .Key_ = {Origin, Job.Request_.Job_},
+      .LatestStart_ = Latest,
+      .MilliCores_ = Job.Request_.Needs_.MilliCores_};
+  Placing.Waiting_.insert(*Job.Waiting_);
   Placing.IsDirty_ = true;
 }
 
@@ -100,7 +154,7 @@
   const auto Found = Placing.Jobs_.find(Key);
   if (Found == Placing.Jobs_.end() || !Found->second.Request_.Tasks_.empty())
     return;
-  Placing.Waiting_.erase(Key);
+  stopWaiting(Placing, Found->second);
   if (Found->second.Reservations_.empty())
     Placing.Jobs_.erase(Found);
 }
@@ -142,9 +196,7 @@
   Job.Origin_ = Origin;
   Job.Request_.Needs_ = Place.Needs_;
   Job.Reservations_.push_back({Place.Task_, Place.Worker_});
-  const auto Worker = Placing.Workers_.find(Place.Worker_);
-  if (Worker != Placing.Workers_.end())
-    Worker->second.Reserved_ = Worker->second.Reserved_ + Place.Needs_;
+  addReserved(Placing, Place.Worker_, Place.Needs_);
 }
 
 // Estimates are compared with the faster half of the fleet, since a job's
@@ -199,40 +251,6 @@
   tell(T, Job.Origin_, PlaceRefused{Job.Request_.Job_, ComeBack});
 }
 
-// The last moment at which a task of usual run time ends in time.
-static Milliseconds latestStart(const PlacerJob &Job) {
-  return Job.ObjectiveAt_ - Job.Request_.Estimate_;
-}
-
-// Load pattern: more work than the fleet can do for seconds. Jobs that can meet
-// their objective come first, in the order in which their last chance to start
-// passes, the urgent ones a little earlier; the others take what is left.
-static std::vector<PlacerJobKey> waitingOrder(const PlacerState &Placing,
-                                              const PlacerOptions &Options,
-                                              Milliseconds Now) {
-  struct Entry {
-    bool IsLate_;
-    Milliseconds LatestStart_;
-    PlacerJobKey Key_;
-  };
-  std::vector<Entry> Waiting;
-  for (const PlacerJobKey &Key : Placing.Waiting_) {
-    const PlacerJob &Job = Placing.Jobs_.at(Key);
-    const Milliseconds Latest = latestStart(Job);
-    Waiting.push_back(
-        {Latest < Now,
-         Latest + Options.PriorityLead_ * Job.Request_.Priority_, Key});
-  }
-  std::sort(Waiting.begin(), Waiting.end(), [](const Entry &A, const Entry &B) {
-    return std::tie(A.IsLate_, A.LatestStart_, A.Key_) <
-           std::tie(B.IsLate_, B.LatestStart_, B.Key_);
-  });
-  std::vector<PlacerJobKey> Order;
-  for (const Entry &One : Waiting)
-    Order.push_back(One.Key_);
-  return Order;
-}
-
 static void placeJob(FleetTurn &T, PlacerJob &Job, double Usual) {
   PlacerState &Placing = T.State_.Placing_;
   TaskWish Wish{.Job_ = Job, .UsualSlowness_ = Usual};
@@ -241,45 +259,64 @@
   Placed Answer{.Job_ = Job.Request_.Job_};
   std::vector<uint32_t> &Tasks = Job.Request_.Tasks_;
   while (!Tasks.empty()) {
-    const auto Chosen = chooseWorkerFor(Placing.Workers_, Wish,
-                                        T.State_.Options_.Placer_, T.Now_);
+    const auto Chosen =
+        chooseWorkerFor(Placing, Wish, T.State_.Options_.Placer_, T.Now_);
     if (Chosen == Placing.Workers_.end())
       break;
-    PlacerWorker &Worker = Chosen->second;
-    Worker.Reserved_ = Worker.Reserved_ + Job.Request_.Needs_;
+    addReserved(Placing, Chosen->first, Job.Request_.Needs_);
     Job.Reservations_.push_back({Tasks.front(), Chosen->first});
-    Answer.Tasks_.push_back({Tasks.front(), Chosen->first, Worker.Holder_});
+    Answer.Tasks_.push_back(
+        {Tasks.front(), Chosen->first, Chosen->second.Holder_});
     Tasks.erase(Tasks.begin());
   }
   if (!Answer.Tasks_.empty())
     tell(T, Job.Origin_, std::move(Answer));
 }
 
+static void placeOrRefuse(FleetTurn &T, const PlacerJobKey &Key,
+                          bool IsRefused) {
+  PlacerJob &Job = T.State_.Placing_.Jobs_.at(Key);
+  if (T.Now_ + Job.Request_.Estimate_ > Job.GiveUpAt_)
+    refuse(T, Job, "too little time is left");
+  else if (IsRefused && Job.Reservations_.empty())
+    refuse(T, Job, "late, while others can be in time");
+  else
+    placeJob(T, Job, usualSlowness(T));
+  forgetIfDone(T.State_.Placing_, Key);
+}
+
+// Load pattern: more work than the fleet can do for seconds. Jobs that can meet
+// their objective come first, in the order in which their last chance to start
+// passes, the urgent ones a little earlier; the others take what is left. A
+// late one that has not begun would be held for nothing, or take room from
+// those that can be in time; it is refused while there are such.
 void placeTasks(FleetTurn &T) {
   PlacerState &Placing = T.State_.Placing_;
-  const PlacerOptions &Options = T.State_.Options_.Placer_;
-  const std::vector<PlacerJobKey> Order =
-      waitingOrder(Placing, Options, T.Now_);
-  if (Order.empty())
+  if (Placing.Waiting_.empty())
     return;
-  const double Usual = usualSlowness(T);
-  // Jobs that can be in time wait for room. A late one that has not begun would
-  // be held for nothing, or take room from them.
+  std::vector<PlacerJobKey> InTime;
+  std::vector<PlacerJobKey> Late;
+  const int64_t MostFree =
+      Placing.ByFree_.empty() ? -1 : Placing.ByFree_.rbegin()->first;
   bool IsOverloaded = false;
-  for (const PlacerJobKey &Key : Order) {
-    PlacerJob &Job = Placing.Jobs_.at(Key);
-    const bool IsLate = latestStart(Job) < T.Now_;
-    if (T.Now_ + Job.Request_.Estimate_ > Job.GiveUpAt_)
-      refuse(T, Job, "too little time is left");
-    else if (IsLate && IsOverloaded && Options.RefusesLate_ &&
-             Job.Reservations_.empty())
-      refuse(T, Job, "late, while others can be in time");
+  for (const WaitingJob &One : Placing.Waiting_) {
+    if (One.LatestStart_ < T.Now_)
+      Late.push_back(One.Key_);
+    else if (One.MilliCores_ <= MostFree)
+      InTime.push_back(One.Key_);
     else
-      placeJob(T, Job, Usual);
-    IsOverloaded =
-        IsOverloaded || (!IsLate && !Job.Request_.Tasks_.empty());
-    forgetIfDone(Placing, Key);
+      IsOverloaded = true;
+  }
+  for (const PlacerJobKey &Key : InTime) {
+    placeOrRefuse(T, Key, false);
+    const auto Job = Placing.Jobs_.find(Key);
+    IsOverloaded = IsOverloaded || (Job != Placing.Jobs_.end() &&
+                                    !Job->second.Request_.Tasks_.empty());
   }
+  const bool IsRefused =
+      IsOverloaded && T.State_.Options_.Placer_.RefusesLate_;
+  for (const PlacerJobKey &Key : Late)
+    placeOrRefuse(T, Key, IsRefused);
 }
 
 } // namespace marjorambend::internal
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -5,8 +5,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -17,6 +19,7 @@
   HeldWorker Held_;
   Incarnation Holder_;
   Room Reserved_; ///< By placements that were not released.
+  int64_t IndexedFree_ = -1; ///< Its place in ByFree_; -1: not there.
   Milliseconds BackOffUntil_;
 };
 
@@ -26,6 +29,22 @@
   std::string Worker_;
 };
 
+/// \brief Names a job among those of all instances.
+using PlacerJobKey = std::pair<Incarnation, uint64_t>;
+
+/// \brief A job in the order in which waiting jobs are served.
+struct WaitingJob {
+  Milliseconds Rank_; ///< Last chance to be in time, less its urgency's lead.
+  PlacerJobKey Key_;
+  Milliseconds LatestStart_;
+  int64_t MilliCores_ = 0; ///< Of each task; here, so that a full fleet is
+                           ///< passed over without a look at the job.
+
+  friend bool operator<(const WaitingJob &A, const WaitingJob &B) {
+    return std::tie(A.Rank_, A.Key_) < std::tie(B.Rank_, B.Key_);
+  }
+};
+
 /// \brief A job at the placing instance.
 struct PlacerJob {
   PlaceRequest Request_; ///< Its tasks are those that wait.
@@ -35,10 +54,9 @@
   Milliseconds ObjectiveAt_;
   Milliseconds GiveUpAt_;
   std::vector<Reservation> Reservations_;
+  std::optional<WaitingJob> Waiting_; ///< Its entry among those that wait.
 };
 
-/// \brief Names a job among those of all instances.
-using PlacerJobKey = std::pair<Incarnation, uint64_t>;
 
 /// \brief The whole fleet's workers and waiting tasks.
 ///
@@ -46,7 +64,9 @@
 struct PlacerState {
   std::map<std::string, PlacerWorker> Workers_;
   std::map<PlacerJobKey, PlacerJob> Jobs_;
-  std::set<PlacerJobKey> Waiting_; ///< Jobs with tasks that wait.
+  std::set<WaitingJob> Waiting_; ///< Jobs with tasks that wait.
+  /// Open workers by their free thousandths of a core.
+  std::set<std::pair<int64_t, std::string>> ByFree_;
   double UsualSlowness_ = 1.0;     ///< Of the open workers' middle.
   Milliseconds UsualAt_;           ///< When it was computed.
   bool IsDirty_ = false; ///< Something may be placeable that was not.
--- a/coordination/test/Fleet/PlacementTests.cpp
+++ b/coordination/test/Fleet/PlacementTests.cpp
@@ -5,7 +5,7 @@
 using namespace marjorambend;
 
 TEST_GROUP(AWorkerForATask) {
-  std::map<std::string, PlacerWorker> Workers_;
+  PlacerState Placing_;
   PlacerJob Job_;
   PlacerOptions Options_;
 
@@ -17,7 +17,8 @@
   }
   PlacerWorker &add(const std::string &Id, double Slowness, int64_t Free,
                     std::string DataCentre = "near") {
-    PlacerWorker &Worker = Workers_[Id];
+    PlacerWorker &Worker = Placing_.Workers_[Id];
+    Placing_.ByFree_.insert({Free, Id});
     Worker.Held_ = {.Report_ = {.Id_ = Id,
                                 .Service_ = "s",
                                 .DataCentre_ = std::move(DataCentre),
@@ -29,8 +30,8 @@
   }
   std::string choose(std::optional<Milliseconds> EndBefore = std::nullopt) {
     const auto Found = chooseWorkerFor(
-        Workers_, {.Job_ = Job_, .EndBefore_ = EndBefore}, Options_, {0});
-    return Found == Workers_.end() ? "none" : Found->first;
+        Placing_, {.Job_ = Job_, .EndBefore_ = EndBefore}, Options_, {0});
+    return Found == Placing_.Workers_.end() ? "none" : Found->first;
   }
 };
 
