Tell why a request failed: log lines from one definition, histograms, explain

Cause: engineers on call have logs and metrics only. Every line of the log is listed in LogLines.def, from which docs/LOGS.md is made; the simulated fleet checks that no other is written. Time to answer by outcome, to place, to start and to run are histograms on the metrics address. marjorambendctl explain puts a job's lines of several instances in order and names the cause. Limits of the configuration now hold for callers' connections; SIGHUP takes new seeds.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -51,9 +51,8 @@
 
 static void look(FleetTurn &T, WorkerHold &Hold) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
-  const bool IsRenewing = Hold.Phase_ == HoldPhase::Open &&
-                          Hold.ClockOffset_ && !Hold.Runs_.empty() &&
-                          isRenewable(T, Hold);
+  const bool IsRenewing = Hold.Phase_ == HoldPhase::Open && Hold.ClockOffset_ &&
+                          !Hold.Runs_.empty() && isRenewable(T, Hold);
   Milliseconds Wait{0};
   if (Hold.Phase_ == HoldPhase::Open)
     Wait = Hold.Runs_.empty() ? Options.IdleWait_ : Options.BusyWait_;
@@ -61,12 +60,12 @@
     Hold.LeaseSentAt_ = T.Now_;
   Hold.IsLooking_ = true;
   increment(T.State_.Counters_, Counter::WorkerLooks);
-  T.Out_.push_back(
-      LookAtWorker{.Worker_ = targetOf(Hold),
-                   .Look_ = Hold.NextLook_++,
-                   .AckedThrough_ = Hold.AckedThrough_,
-                   .LeaseEnd_ = IsRenewing ? leaseEnd(T, Hold) : Milliseconds{0},
-                   .Wait_ = Wait});
+  T.Out_.push_back(LookAtWorker{.Worker_ = targetOf(Hold),
+                                .Look_ = Hold.NextLook_++,
+                                .AckedThrough_ = Hold.AckedThrough_,
+                                .LeaseEnd_ = IsRenewing ? leaseEnd(T, Hold)
+                                                        : Milliseconds{0},
+                                .Wait_ = Wait});
 }
 
 void lookSoon(FleetTurn &T, WorkerHold &Hold) {
@@ -95,8 +94,8 @@
   const HolderOptions &Options = T.State_.Options_.Holder_;
   if (Hold.Phase_ == HoldPhase::Claiming) {
     const uint32_t Doublings = std::min(Hold.FenceTries_++, MaxFenceDoublings);
-    Hold.Fence_ = std::max(Hold.Fence_, freshFence(T.State_)) +
-                  (FenceStep << Doublings);
+    Hold.Fence_ =
+        std::max(Hold.Fence_, freshFence(T.State_)) + (FenceStep << Doublings);
     Hold.NextLookAt_ = T.Now_;
     return;
   }
@@ -138,7 +137,8 @@
   const HolderOptions &Options = T.State_.Options_.Holder_;
   ++Hold.FailedLooks_;
   // The first failure may be the connection's fault alone.
-  Hold.NextLookAt_ = Hold.FailedLooks_ == 1 ? T.Now_ : T.Now_ + Options.RetryPause_;
+  Hold.NextLookAt_ =
+      Hold.FailedLooks_ == 1 ? T.Now_ : T.Now_ + Options.RetryPause_;
   if (Hold.Phase_ != HoldPhase::Open ||
       Hold.FailedLooks_ < Options.SuspectAfter_)
     return;
@@ -287,9 +287,8 @@
     }
     return;
   }
-  const bool IsSettled =
-      State.HasTicked_ &&
-      T.Now_ - State.StartedAt_ >= State.Options_.Holder_.Settle_;
+  const bool IsSettled = State.HasTicked_ && T.Now_ - State.StartedAt_ >=
+                                                 State.Options_.Holder_.Settle_;
   if (!IsSettled)
     return;
   for (auto &[Id, Hold] : State.Holds_) {
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -8,8 +8,10 @@
 #include "marjorambend/src/Fleet/PlacerState.h"
 #include "marjorambend/src/Fleet/WorkerHold.h"
 #include "marjorambend/src/Support/Counters.h"
+#include "marjorambend/src/Support/Histogram.h"
 #include "marjorambend/src/Support/Random.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -25,6 +27,21 @@
   Milliseconds HeardAt_;
 };
 
+/// \brief Where the time of jobs goes.
+struct FleetTimes {
+  /// From the arrival of a job to its answer.
+  std::array<Histogram, JobOutcomeCount> Answers_;
+  Histogram Placing_; ///< From the arrival of a job to a task's worker.
+  Histogram Starts_;  ///< From a start order to the worker's answer.
+  Histogram Runs_;    ///< Of tasks that are done.
+};
+
+/// \brief The counters and times of an instance in the usual text form.
+std::string renderMetrics(const struct FleetInstance &State);
+
+/// \brief Whether a line has an event and fields of LogLines.def.
+bool isKnownLine(const LogDecision &Line);
+
 /// \brief The whole state of one instance's decisions on a fleet of workers
 /// that run tasks under leases.
 ///
@@ -35,6 +52,7 @@
   InstanceInfo Self_;
   Random Generator_;
   Counters Counters_;
+  FleetTimes Times_;
   bool HasTicked_ = false;
   Milliseconds StartedAt_;
   Milliseconds LastTick_;
@@ -49,9 +67,9 @@
   bool HasList_ = false;
   bool IsListFresh_ = false; ///< The last read of the list has succeeded.
   Milliseconds MissingAreKeptUntil_; ///< Workers that the list lacks stay.
-  Milliseconds ListHeardAt_;   ///< Of the last news of another reader.
-  Milliseconds ConfigHeardAt_; ///< When a reader last followed the store.
-  Milliseconds ConfigSeenAt_;  ///< When this instance last did.
+  Milliseconds ListHeardAt_;         ///< Of the last news of another reader.
+  Milliseconds ConfigHeardAt_;       ///< When a reader last followed the store.
+  Milliseconds ConfigSeenAt_;        ///< When this instance last did.
 
   std::map<Incarnation, FleetMember> Members_;
   /// Workers that other instances hold.
--- a/coordination/marjorambend/src/Fleet/FleetActions.h
+++ b/coordination/marjorambend/src/Fleet/FleetActions.h
@@ -23,7 +23,9 @@
   NotSupported, ///< Of a form that is not served.
 };
 
-/// \brief Name of an outcome in logs.
+inline constexpr std::size_t JobOutcomeCount = 7;
+
+/// \brief Name of an outcome in logs and metrics.
 const char *nameOf(JobOutcome Outcome);
 
 /// \brief Give a caller its final answer.
@@ -82,7 +84,7 @@
 
 /// \brief Write a line on a decision.
 struct LogDecision {
-  std::string_view What_; ///< One of the names in LogNames.def.
+  std::string_view What_; ///< One of the events in LogLines.def.
   uint64_t Job_ = 0;      ///< The caller's identity; 0: about no job.
   bool IsFinal_ = false;  ///< The last line of a job that was not served.
   std::vector<LogField> Fields_;
--- a/coordination/marjorambend/src/Fleet/FleetEvents.h
+++ b/coordination/marjorambend/src/Fleet/FleetEvents.h
@@ -125,10 +125,10 @@
 
 /// \brief Everything that can happen to an instance of the fleet.
 using FleetEvent =
-    std::variant<FleetTick, ConfigRead, ConfigConfirmed, WorkersRead, WorkersUnknown,
-                 JobSubmission, JobAbandoned, JobCancel, InstanceUp,
-                 InstanceDown, InstanceSaid, StartAnswered, StopAnswered,
-                 WorkerListed, FleetStop, FleetStopForced>;
+    std::variant<FleetTick, ConfigRead, ConfigConfirmed, WorkersRead,
+                 WorkersUnknown, JobSubmission, JobAbandoned, JobCancel,
+                 InstanceUp, InstanceDown, InstanceSaid, StartAnswered,
+                 StopAnswered, WorkerListed, FleetStop, FleetStopForced>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -123,8 +123,8 @@
 /// \brief Everything that instances say to each other.
 using FleetMessage =
     std::variant<InstanceStatus, WorkersHeld, WorkersDropped, PlaceRequest,
-                 PlaceWithdraw, PlaceRelease, PlaceAdopt, Placed, PlaceRefused, StartOrder,
-                 StopOrder, RunEnded, ListNews, ConfigNews>;
+                 PlaceWithdraw, PlaceRelease, PlaceAdopt, Placed, PlaceRefused,
+                 StartOrder, StopOrder, RunEnded, ListNews, ConfigNews>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -11,8 +11,8 @@
 /// \brief Parameters of the workers that an instance holds.
 struct HolderOptions {
   /// Length of a renewed lease; the platform's `hold_max_ms` bounds it. With
-  /// OriginSilence_ it is shorter than the 1,300 ms after which a caller sends a
-  /// lost job again.
+  /// OriginSilence_ it is shorter than the 1,300 ms after which a caller sends
+  /// a lost job again.
   Milliseconds Lease_{800};
   /// Silence of an origin after which leases of workers with runs of it are not
   /// renewed; two heartbeats.
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -78,7 +78,9 @@
          std::vector<LogField> Fields, bool IsFinal = false);
 
 /// \brief An instant or a duration for a log line.
-inline std::string text(Milliseconds Time) { return std::to_string(Time.Count_); }
+inline std::string text(Milliseconds Time) {
+  return std::to_string(Time.Count_);
+}
 
 } // namespace marjorambend::internal
 
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -77,14 +77,14 @@
   const HolderOptions &Options = T.State_.Options_.Holder_;
   if (End == RunEnd::Done) {
     Hold.BadInRow_ = 0;
+    observe(T.State_.Times_.Runs_, T.Now_ - Run.StartedAt_);
     const auto Ran = static_cast<double>((T.Now_ - Run.StartedAt_).Count_);
     const auto Expected = static_cast<double>(Run.Estimate_.Count_);
     if (Expected <= 0 || Ran <= 0)
       return;
     const double Sample = std::log(Ran / Expected);
     const double Known = std::log(Hold.Slowness_);
-    Hold.Slowness_ =
-        std::exp(Known + Options.LearningRate_ * (Sample - Known));
+    Hold.Slowness_ = std::exp(Known + Options.LearningRate_ * (Sample - Known));
     return;
   }
   if (End != RunEnd::Failed || Hold.LastBadJob_ == Id.Job_)
@@ -177,7 +177,7 @@
   Hold.Used_ = Hold.Used_ + Order.Needs_;
   Hold.LeaseSentAt_ = T.Now_;
   increment(T.State_.Counters_, Counter::TasksStarted);
-  log(T, "start", Order.Run_.Job_,
+  log(T, "run_start", Order.Run_.Job_,
       {{"task", std::to_string(Order.Run_.Task_)},
        {"attempt", std::to_string(Order.Run_.Attempt_)},
        {"worker", Order.Worker_},
@@ -236,6 +236,7 @@
   switch (Result) {
   case OrderResult::Accepted:
     Run.StartedAt_ = T.Now_;
+    observe(T.State_.Times_.Starts_, T.Now_ - Run.OrderedAt_);
     settleRun(Hold, Run);
     if (Run.Phase_ == RunPhase::Starting)
       Run.Phase_ = RunPhase::Running;
@@ -331,8 +332,8 @@
     Run.ProgressAt_ = T.Now_;
     return;
   }
-  const Milliseconds Bound{std::max(
-      T.State_.Options_.Holder_.HangFloor_.Count_, Run.Estimate_.Count_ / 4)};
+  const Milliseconds Bound{std::max(T.State_.Options_.Holder_.HangFloor_.Count_,
+                                    Run.Estimate_.Count_ / 4)};
   if (Run.Phase_ != RunPhase::Running || T.Now_ - Run.ProgressAt_ < Bound)
     return;
   increment(T.State_.Counters_, Counter::RunsHung);
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -23,6 +23,8 @@
                       std::string_view Why, Milliseconds RetryAfter = {}) {
   Job.IsAnswered_ = true;
   const bool IsServed = Outcome == JobOutcome::Completed;
+  observe(T.State_.Times_.Answers_[static_cast<std::size_t>(Outcome)],
+          T.Now_ - Job.ArrivedAt_);
   log(T, "answer", Job.Submission_.Id_,
       {{"outcome", nameOf(Outcome)},
        {"why", std::string(Why)},
@@ -162,9 +164,8 @@
                  State.Options_.Placer_.LeastRetryAfter_);
     return;
   }
-  const bool IsClosed =
-      State.IsStopping_ &&
-      T.Now_ - State.StoppingSince_ >= State.Options_.StopTaking_;
+  const bool IsClosed = State.IsStopping_ && T.Now_ - State.StoppingSince_ >=
+                                                 State.Options_.StopTaking_;
   if (IsClosed) {
     refuseAtOnce(T, Given, JobOutcome::NotRun, "the instance stops",
                  State.Options_.Placer_.LeastRetryAfter_);
@@ -244,6 +245,7 @@
   Task.Placer_ = Placer;
   ++Task.Attempt_;
   Job.HasStarted_ = true;
+  observe(T.State_.Times_.Placing_, T.Now_ - Job.ArrivedAt_);
   log(T, "placed", Job.Submission_.Id_,
       {{"task", std::to_string(Place.Task_)},
        {"attempt", std::to_string(Task.Attempt_)},
@@ -266,10 +268,10 @@
   OriginJob *Job = findJob(T.State_, Given.Job_);
   std::vector<uint32_t> Again;
   for (const Placement &Place : Given.Tasks_) {
-    const bool IsWanted = Job != nullptr && !Job->IsAnswered_ &&
-                          Place.Task_ < Job->Tasks_.size() &&
-                          Job->Placer_ == From &&
-                          Job->Tasks_[Place.Task_].Phase_ == OriginTaskPhase::Waiting;
+    const bool IsWanted =
+        Job != nullptr && !Job->IsAnswered_ &&
+        Place.Task_ < Job->Tasks_.size() && Job->Placer_ == From &&
+        Job->Tasks_[Place.Task_].Phase_ == OriginTaskPhase::Waiting;
     if (IsWanted && isReachable(T.State_, Place.Holder_)) {
       orderTask(T, *Job, Place, From);
       continue;
@@ -437,7 +439,8 @@
     return;
   const Incarnation Before = State.Placer_;
   State.Placer_ = Chosen;
-  log(T, "placer", 0, {{"other", Best == nullptr ? State.Self_.Name_ : Best->Name_}});
+  log(T, "placer", 0,
+      {{"other", Best == nullptr ? State.Self_.Name_ : Best->Name_}});
   moveToPlacer(T, Before);
 }
 
--- a/coordination/marjorambend/src/Fleet/OriginJob.h
+++ b/coordination/marjorambend/src/Fleet/OriginJob.h
@@ -35,9 +35,9 @@
   std::vector<uint64_t> Tokens_; ///< Requests that wait for the answer.
   std::vector<OriginTask> Tasks_;
   uint32_t DoneTasks_ = 0;
-  bool HasStarted_ = false;  ///< A task may have run.
-  bool IsAnswered_ = false;  ///< What is left is to see its runs end.
-  Incarnation Placer_;       ///< Where its waiting tasks wait.
+  bool HasStarted_ = false; ///< A task may have run.
+  bool IsAnswered_ = false; ///< What is left is to see its runs end.
+  Incarnation Placer_;      ///< Where its waiting tasks wait.
   Milliseconds ArrivedAt_;
   Milliseconds ObjectiveAt_; ///< Answers after this count as late.
   Milliseconds GiveUpAt_;    ///< The caller or the route waits no longer.
--- a/coordination/marjorambend/src/Fleet/Placement.cpp
+++ b/coordination/marjorambend/src/Fleet/Placement.cpp
@@ -79,16 +79,15 @@
     if (!internal::canTakeNow(It->second, It->first, Wish, Now))
       continue;
     Able.push_back(It);
-    Shortest = std::min(
-        Shortest, expectedRun(Job, It->second, Wish.UsualSlowness_));
+    Shortest =
+        std::min(Shortest, expectedRun(Job, It->second, Wish.UsualSlowness_));
   }
-  const auto Similar = static_cast<double>(Shortest.Count_) *
-                       (1.0 + Options.SimilarRunTime_);
+  const auto Similar =
+      static_cast<double>(Shortest.Count_) * (1.0 + Options.SimilarRunTime_);
   auto Best = Workers.end();
   std::pair<bool, int64_t> BestRank; // whether it is far, what is left over
   for (const auto It : Able) {
-    const Milliseconds Run =
-        expectedRun(Job, It->second, Wish.UsualSlowness_);
+    const Milliseconds Run = expectedRun(Job, It->second, Wish.UsualSlowness_);
     if (static_cast<double>(Run.Count_) > Similar)
       continue;
     const WorkerReport &Report = It->second.Held_.Report_;
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -15,8 +15,8 @@
   if (Worker.IndexedFree_ >= 0)
     Placing.ByFree_.erase({Worker.IndexedFree_, Id});
   Worker.IndexedFree_ = -1;
-  const int64_t Free = Worker.Held_.Report_.Capacity_.MilliCores_ -
-                       Worker.Reserved_.MilliCores_;
+  const int64_t Free =
+      Worker.Held_.Report_.Capacity_.MilliCores_ - Worker.Reserved_.MilliCores_;
   if (!Worker.Held_.IsOpen_ || Free < 0)
     return;
   Worker.IndexedFree_ = Free;
@@ -140,12 +140,12 @@
   Job.Request_.Tasks_ = std::move(Waiting);
   stopWaiting(Placing, Job);
   const Milliseconds Latest = latestStart(Job);
-  Job.Waiting_ = WaitingJob{
-      .Rank_ = Latest + T.State_.Options_.Placer_.PriorityLead_ *
-                            Job.Request_.Priority_,
-      .Key_ = {Origin, Job.Request_.Job_},
-      .LatestStart_ = Latest,
-      .MilliCores_ = Job.Request_.Needs_.MilliCores_};
+  Job.Waiting_ =
+      WaitingJob{.Rank_ = Latest + T.State_.Options_.Placer_.PriorityLead_ *
+                                       Job.Request_.Priority_,
+                 .Key_ = {Origin, Job.Request_.Job_},
+                 .LatestStart_ = Latest,
+                 .MilliCores_ = Job.Request_.Needs_.MilliCores_};
   Placing.Waiting_.insert(*Job.Waiting_);
   Placing.IsDirty_ = true;
 }
@@ -313,8 +313,7 @@
     IsOverloaded = IsOverloaded || (Job != Placing.Jobs_.end() &&
                                     !Job->second.Request_.Tasks_.empty());
   }
-  const bool IsRefused =
-      IsOverloaded && T.State_.Options_.Placer_.RefusesLate_;
+  const bool IsRefused = IsOverloaded && T.State_.Options_.Placer_.RefusesLate_;
   for (const PlacerJobKey &Key : Late)
     placeOrRefuse(T, Key, IsRefused);
 }
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -18,7 +18,7 @@
 struct PlacerWorker {
   HeldWorker Held_;
   Incarnation Holder_;
-  Room Reserved_; ///< By placements that were not released.
+  Room Reserved_;            ///< By placements that were not released.
   int64_t IndexedFree_ = -1; ///< Its place in ByFree_; -1: not there.
   Milliseconds BackOffUntil_;
 };
@@ -57,7 +57,6 @@
   std::optional<WaitingJob> Waiting_; ///< Its entry among those that wait.
 };
 
-
 /// \brief The whole fleet's workers and waiting tasks.
 ///
 /// All of it is soft: it is built anew from what holders and origins tell.
@@ -67,9 +66,9 @@
   std::set<WaitingJob> Waiting_; ///< Jobs with tasks that wait.
   /// Open workers by their free thousandths of a core.
   std::set<std::pair<int64_t, std::string>> ByFree_;
-  double UsualSlowness_ = 1.0;     ///< Of the open workers' middle.
-  Milliseconds UsualAt_;           ///< When it was computed.
-  bool IsDirty_ = false; ///< Something may be placeable that was not.
+  double UsualSlowness_ = 1.0; ///< Of the open workers' middle.
+  Milliseconds UsualAt_;       ///< When it was computed.
+  bool IsDirty_ = false;       ///< Something may be placeable that was not.
 };
 
 } // namespace marjorambend
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -19,8 +19,7 @@
 
 TEST(AWorkerThatIsHeld, RunsATaskToItsEnd) {
   startTask();
-  const auto Answers =
-      only<AnswerJob>(S_.list({}, {{1, Run_, RunEnd::Done}}));
+  const auto Answers = only<AnswerJob>(S_.list({}, {{1, Run_, RunEnd::Done}}));
   LONGS_EQUAL(1, Answers.size());
   CHECK(Answers[0].Outcome_ == JobOutcome::Completed);
   LONGS_EQUAL(1, S_.LastLook_.AckedThrough_);
--- a/coordination/test/Fleet/NewsTests.cpp
+++ b/coordination/test/Fleet/NewsTests.cpp
@@ -15,7 +15,7 @@
     meet(Reader_, Other_);
     meet(Other_, Reader_);
   }
-  static void meet(Story &One, Story &Another) {
+  static void meet(Story & One, Story & Another) {
     One.give(InstanceUp{Another.State_.Self_});
     One.give(InstanceSaid{Another.State_.Self_.Run_,
                           InstanceStatus{.IsReady_ = true}});
@@ -58,14 +58,11 @@
 }
 
 TEST(TheReaderOfADataCentre, PassesANewConfigurationOn) {
-  const FleetActions Wanted =
-      Reader_.give(ConfigRead{.Config_ = {.Version_ = 9},
-                              .Text_ = "text",
-                              .IsFromStore_ = true});
+  const FleetActions Wanted = Reader_.give(ConfigRead{
+      .Config_ = {.Version_ = 9}, .Text_ = "text", .IsFromStore_ = true});
   FleetActions Taken;
   for (const TellInstance &One : only<TellInstance>(Wanted))
-    Taken = Other_.give(
-        InstanceSaid{Reader_.State_.Self_.Run_, One.Message_});
+    Taken = Other_.give(InstanceSaid{Reader_.State_.Self_.Run_, One.Message_});
   const auto Decodes = only<DecodeConfigText>(Taken);
   LONGS_EQUAL(1, Decodes.size());
   STRCMP_EQUAL("text", Decodes[0].Text_.c_str());
--- a/coordination/test/Fleet/Story.h
+++ b/coordination/test/Fleet/Story.h
@@ -113,8 +113,7 @@
 };
 
 /// \brief The actions of one type.
-template <typename Wanted>
-std::vector<Wanted> only(const FleetActions &All) {
+template <typename Wanted> std::vector<Wanted> only(const FleetActions &All) {
   std::vector<Wanted> Found;
   for (const FleetAction &One : All) {
     if (const auto *Same = std::get_if<Wanted>(&One))
--- a/coordination/test/Simulation/FleetLoad.cpp
+++ b/coordination/test/Simulation/FleetLoad.cpp
@@ -28,8 +28,10 @@
 
 // Usage: fleet_load [SEED [LENGTH_MS]]
 int main(int Count, char **Arguments) {
-  const uint64_t Seed = Count > 1 ? std::strtoull(Arguments[1], nullptr, 10) : 1;
-  const int64_t Length = Count > 2 ? std::strtoll(Arguments[2], nullptr, 10) : 15'000;
+  const uint64_t Seed =
+      Count > 1 ? std::strtoull(Arguments[1], nullptr, 10) : 1;
+  const int64_t Length =
+      Count > 2 ? std::strtoll(Arguments[2], nullptr, 10) : 15'000;
   for (const double Load : {0.65, 1.1, 1.43, 1.8}) {
     const FleetWorldOptions Options{.Seed_ = Seed,
                                     .Kinds_ = agenciaKinds(Load),
--- a/coordination/test/Simulation/FleetPromises.cpp
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -110,6 +110,4 @@
   CHECK(isCaught(FleetPlant::LongLeases));
 }
 
-int main(int Count, char **Arguments) {
-  return runTests(Count, Arguments, 40);
-}
+int main(int Count, char **Arguments) { return runTests(Count, Arguments, 40); }
--- a/coordination/test/Simulation/FleetWorld.cpp
+++ b/coordination/test/Simulation/FleetWorld.cpp
@@ -56,8 +56,8 @@
   for (uint32_t Centre = 0; Centre < Options_.DataCentres_; ++Centre) {
     const std::string Name = "dc" + std::to_string(Centre);
     for (uint32_t Index = 0; Index < Options_.InstancesEach_; ++Index)
-      Nodes_.push_back({.Name_ = Name + "-i" + std::to_string(Index),
-                        .DataCentre_ = Name});
+      Nodes_.push_back(
+          {.Name_ = Name + "-i" + std::to_string(Index), .DataCentre_ = Name});
     for (uint32_t Index = 0; Index < Options_.WorkersEach_; ++Index) {
       const std::string Id = Name + "-w" + std::to_string(Index);
       SimWorker &Worker = Workers_[Id];
@@ -68,10 +68,10 @@
           .Address_ = Id,
           .Port_ = 1,
           .DataCentre_ = Name,
-          .Capacity_ = {static_cast<int64_t>(
-                            static_cast<double>(Options_.WorkerMilliCores_) *
-                            Size),
-                        131'072, 0}};
+          .Capacity_ = {
+              static_cast<int64_t>(
+                  static_cast<double>(Options_.WorkerMilliCores_) * Size),
+              131'072, 0}};
       Worker.Speed_ = Options_.Speeds_[Index % Options_.Speeds_.size()];
       restart(Worker, {0});
     }
@@ -218,7 +218,8 @@
   if (!To.IsUp_ || To.Epoch_ != Epoch)
     return;
   if (To.IsFrozen_) {
-    To.Held_.push_back([this, Index, Epoch, Event] { give(Index, Epoch, Event); });
+    To.Held_.push_back(
+        [this, Index, Epoch, Event] { give(Index, Epoch, Event); });
     return;
   }
   carryOut(Index, step(*To.State_, std::move(Event), Now_));
@@ -244,8 +245,7 @@
       const auto To = nodeOf(Tell->To_);
       if (!To || !Linked_[std::minmax(Index, *To)])
         continue;
-      const bool IsNear =
-          Nodes_[Index].DataCentre_ == Nodes_[*To].DataCentre_;
+      const bool IsNear = Nodes_[Index].DataCentre_ == Nodes_[*To].DataCentre_;
       after(IsNear ? NearTrip : FarTrip,
             [this, To = *To, Index, Epoch = Nodes_[*To].Epoch_,
              From = Nodes_[Index].Info_.Run_, Message = Tell->Message_] {
@@ -260,6 +260,9 @@
       carryOutLook(Index, *Look);
     } else if (const auto *Answer = std::get_if<AnswerJob>(&One)) {
       answer(Index, *Answer);
+    } else if (const auto *Line = std::get_if<LogDecision>(&One)) {
+      if (!isKnownLine(*Line))
+        violate("unknown log line " + std::string(Line->What_));
     }
   }
 }
@@ -280,20 +283,18 @@
       Apply(*Reached);
   };
   if (chance(Options_.ApplyLate_)) {
-    after(between(2'000, 12'000),
-          [this, Reach, Id = To.Id_, Life = Worker->Report_.Life_] {
-            const SimWorker &Then = *findWorker(Id);
-            IsApplyingLate_ = true;
-            IsBeforeAnyLook_ =
-                Then.Report_.Life_ != Life && Then.LooksInLife_ < 2;
-            Reach();
-            IsApplyingLate_ = IsBeforeAnyLook_ = false;
-          });
+    after(between(2'000, 12'000), [this, Reach, Id = To.Id_,
+                                   Life = Worker->Report_.Life_] {
+      const SimWorker &Then = *findWorker(Id);
+      IsApplyingLate_ = true;
+      IsBeforeAnyLook_ = Then.Report_.Life_ != Life && Then.LooksInLife_ < 2;
+      Reach();
+      IsApplyingLate_ = IsBeforeAnyLook_ = false;
+    });
     after(OrderTimeout, std::move(Unanswered));
     return;
   }
-  const bool IsNear =
-      Worker->Report_.DataCentre_ == Nodes_[Index].DataCentre_;
+  const bool IsNear = Worker->Report_.DataCentre_ == Nodes_[Index].DataCentre_;
   after(IsNear ? NearTrip : FarTrip, Reach);
 }
 
@@ -325,9 +326,9 @@
 
 void FleetWorld::carryOutStart(std::size_t Index, const StartRun &Start) {
   const uint64_t Epoch = Nodes_[Index].Epoch_;
-  const auto Answer = [this, Index, Epoch, Start](OrderResult Result,
-                                                  std::optional<Milliseconds>
-                                                      Clock) {
+  const auto Answer = [this, Index, Epoch,
+                       Start](OrderResult Result,
+                              std::optional<Milliseconds> Clock) {
     give(Index, Epoch,
          StartAnswered{Start.Worker_.Id_, Start.Run_, Result, Clock});
   };
@@ -340,8 +341,7 @@
       Index, Start.Worker_,
       [this, Start, Answer, IsLost, WhenUnknown](SimWorker &Worker) {
         const Caller &Asking = Callers_.at(Start.Run_.Job_);
-        const double Length =
-            Asking.Runs_.at(Start.Run_.Task_) / Worker.Speed_;
+        const double Length = Asking.Runs_.at(Start.Run_.Task_) / Worker.Speed_;
         const std::size_t Before = Worker.Runs_.size();
         const OrderResult Result =
             applyStart(Worker, Start,
@@ -355,8 +355,7 @@
           ++Result_.RejectedStarts_;
         const Milliseconds Clock = Now_ + Worker.ClockOffset_;
         if (IsLost)
-          after(OrderTimeout,
-                [=] { Answer(WhenUnknown, std::nullopt); });
+          after(OrderTimeout, [=] { Answer(WhenUnknown, std::nullopt); });
         else
           after(NearTrip, [=] { Answer(Result, Clock); });
       },
@@ -460,15 +459,16 @@
             Here >= Peak.From_ && Here < Peak.Until_)
           Rate *= Peak.Factor_;
       }
-      When -= 1000.0 / Rate * std::log(std::max(1e-12, uniformUnit(Generator_)));
+      When -=
+          1000.0 / Rate * std::log(std::max(1e-12, uniformUnit(Generator_)));
       Caller Asking;
       Asking.Id_ = Generator_() | 1U;
       Asking.Kind_ = Kind;
-      const auto Tasks = static_cast<uint32_t>(std::clamp(
-          std::round(logNormal(Generator_, Of.MeanTasks_, 0.4)), 1.0,
-          static_cast<double>(Of.MostTasks_)));
-      const double Run = std::min(
-          Of.MostRun_, logNormal(Generator_, Of.MeanRun_, 0.4));
+      const auto Tasks = static_cast<uint32_t>(
+          std::clamp(std::round(logNormal(Generator_, Of.MeanTasks_, 0.4)), 1.0,
+                     static_cast<double>(Of.MostTasks_)));
+      const double Run =
+          std::min(Of.MostRun_, logNormal(Generator_, Of.MeanRun_, 0.4));
       double Longest = 0;
       for (uint32_t Task = 0; Task < Tasks; ++Task) {
         Asking.Runs_.push_back(
@@ -597,8 +597,7 @@
   Into.WorthAsked_ += Worth;
   if (Outcome == JobOutcome::NotRun) {
     ++Into.Refused_;
-  } else if (Outcome != JobOutcome::Completed ||
-             Took > Asking.Objective_ * 3) {
+  } else if (Outcome != JobOutcome::Completed || Took > Asking.Objective_ * 3) {
     ++Into.Unserved_;
   } else if (Took <= Asking.Objective_) {
     ++Into.InTime_;
@@ -613,10 +612,12 @@
 
 void FleetWorld::makeFaults() {
   const auto During = [this] {
-    return Milliseconds{between(Options_.LoadFrom_.Count_,
-                                Options_.LoadUntil_.Count_ + 1'000)};
+    return Milliseconds{
+        between(Options_.LoadFrom_.Count_, Options_.LoadUntil_.Count_ + 1'000)};
+  };
+  const auto AnyNode = [this] {
+    return uniformBelow(Generator_, Nodes_.size());
   };
-  const auto AnyNode = [this] { return uniformBelow(Generator_, Nodes_.size()); };
   const auto AnyWorker = [this] {
     return std::next(Workers_.begin(), static_cast<std::ptrdiff_t>(uniformBelow(
                                            Generator_, Workers_.size())))
@@ -634,7 +635,8 @@
       if (!Hit.IsUp_ || Hit.IsFrozen_)
         return;
       Hit.IsFrozen_ = true;
-      for (std::size_t Other = 0; Other < Nodes_.size() && Length > SessionSilence; ++Other) {
+      for (std::size_t Other = 0;
+           Other < Nodes_.size() && Length > SessionSilence; ++Other) {
         if (Other != Index)
           disconnect(Index, Other, SessionSilence);
       }
@@ -655,17 +657,17 @@
       });
     });
   for (uint32_t Count = 0; Count < Options_.Cuts_; ++Count)
-    at(During(), [this, A = AnyNode(), B = AnyNode(),
-                  Length = between(700, 4'000)] {
-      if (A == B)
-        return;
-      Cut_[std::minmax(A, B)] = true;
-      disconnect(A, B, SessionSilence);
-      after(Length, [this, A, B] {
-        Cut_[std::minmax(A, B)] = false;
-        connect(A, B);
-      });
-    });
+    at(During(),
+       [this, A = AnyNode(), B = AnyNode(), Length = between(700, 4'000)] {
+         if (A == B)
+           return;
+         Cut_[std::minmax(A, B)] = true;
+         disconnect(A, B, SessionSilence);
+         after(Length, [this, A, B] {
+           Cut_[std::minmax(A, B)] = false;
+           connect(A, B);
+         });
+       });
   for (uint32_t Count = 0; Count < Options_.WorkerCuts_; ++Count)
     at(During(), [this, Index = AnyNode(), Id = AnyWorker(),
                   Length = between(200, 5'000)] {
--- a/coordination/test/Simulation/FleetWorld.h
+++ b/coordination/test/Simulation/FleetWorld.h
@@ -71,7 +71,7 @@
   uint32_t WorkerCrashes_ = 0;
   uint32_t Drains_ = 0;
   uint32_t ListOutages_ = 0;
-  double ApplyLate_ = 0;  ///< Orders unanswered and carried out 2 to 12 s later.
+  double ApplyLate_ = 0; ///< Orders unanswered and carried out 2 to 12 s later.
   double LoseAnswer_ = 0; ///< Orders carried out at once and not answered.
   double FailRun_ = 0.002;
   double LeaveEarly_ = 0; ///< Callers that leave before their time.
@@ -117,7 +117,7 @@
     std::string DataCentre_;
     bool IsUp_ = false;
     bool IsFrozen_ = false;
-    uint64_t Epoch_ = 0; ///< Counts its processes.
+    uint64_t Epoch_ = 0;                      ///< Counts its processes.
     std::vector<std::function<void()>> Held_; ///< Until it wakes.
     std::map<uint64_t, uint64_t> Requests_;   ///< Token to caller.
   };
@@ -127,7 +127,7 @@
     JobSubmission Job_;
     std::vector<double> Runs_; ///< Of each task, at speed one.
     Milliseconds FirstAt_;
-    Milliseconds DueAt_; ///< When its newest attempt ends at the latest.
+    Milliseconds DueAt_;     ///< When its newest attempt ends at the latest.
     Milliseconds Objective_; ///< Time within which the answer is in time.
     bool IsSettled_ = false;
     bool HasLeft_ = false;
--- a/coordination/test/Simulation/SimWorker.cpp
+++ b/coordination/test/Simulation/SimWorker.cpp
@@ -35,9 +35,8 @@
 static void answerLooks(SimWorker &Worker, Milliseconds Now) {
   std::vector<SimLook> Waiting;
   for (SimLook &Look : Worker.Looks_) {
-    const bool HasNews =
-        !Worker.Ended_.empty() &&
-        Worker.Ended_.back().Number_ > Look.AckedThrough_;
+    const bool HasNews = !Worker.Ended_.empty() &&
+                         Worker.Ended_.back().Number_ > Look.AckedThrough_;
     if (HasNews || Look.Until_ <= Now)
       Look.Answer_(lists(Worker, Now));
     else
--- a/ctl/Commands.cpp
+++ b/ctl/Commands.cpp
@@ -306,6 +306,8 @@
   for (const Command &One : Commands)
     Text << "  " << std::left << std::setw(42) << One.Form_ << One.Help_
          << '\n';
+  Text << "  " << std::left << std::setw(42) << "explain JOB [FILE...]"
+       << "tells a job's story and its cause from logs\n";
   Text
       << "\n"
          "  --instance=IP:PORT  operators' listener of any instance; also\n"
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -2,6 +2,7 @@
 /// \brief The operators' tool: command line, environment, exit code.
 
 #include "Commands.h"
+#include "Explain.h"
 
 #include <charconv>
 #include <csignal>
@@ -41,6 +42,8 @@
   if (const char *Place = std::getenv("MARJORAMBENDCTL_INSTANCE"))
     FLAGS_instance = Place;
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  if (Count > 1 && std::string_view(Arguments[1]) == "explain")
+    return runExplain({Arguments + 1, Arguments + Count}, FLAGS_json);
   const auto Instance = parseEndpoint(FLAGS_instance);
   if (!Instance) {
     std::cerr << "marjorambendctl: --instance must be IP:PORT\n";
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -63,10 +63,12 @@
   }
   void operator()(const DecodeConfigText &A) const {
     auto Config = decodeConfig(A.Text_);
-    if (Config)
-      D_.handle(ConfigRead{.Config_ = std::move(Config->Fleet_)});
-    else
+    if (!Config) {
       D_.logLine("config_unreadable", {{"from", "instance"}});
+      return;
+    }
+    D_.applyLimits(Config->Limits_);
+    D_.handle(ConfigRead{.Config_ = std::move(Config->Fleet_)});
   }
   void operator()(const LogDecision &A) const { D_.Log_.write(A); }
 };
@@ -74,6 +76,7 @@
 StoreWatchEvents FleetDaemon::storeEvents() {
   return {.OnConfig_ =
               [this](DecodedConfig Config) {
+                applyLimits(Config.Limits_);
                 handle(ConfigRead{.Config_ = std::move(Config.Fleet_),
                                   .Text_ = std::move(Config.Text_),
                                   .IsFromStore_ = true});
@@ -109,21 +112,20 @@
       Log_(Loop, {.Instance_ = Settings.Name_}),
       WorkerClient_(Loop, MaxIdleConnection),
       StoreClient_(Loop, MaxIdleConnection),
-      Links_(Loop, {.Self_ = State_.Self_},
-             {.OnUp_ =
-                  [this](const InstanceInfo &Info) {
-                    handle(InstanceUp{Info});
-                  },
-              .OnDown_ = [this](Incarnation Run) { handle(InstanceDown{Run}); },
-              .OnMessage_ =
-                  [this](Incarnation From, FleetMessage Message) {
-                    handle(InstanceSaid{From, std::move(Message)});
-                  },
-              .OnRejected_ =
-                  [this](std::string_view From) {
-                    increment(State_.Counters_, Counter::PeerFramesRejected);
-                    logLine("frame_rejected", {{"from", std::string(From)}});
-                  }}),
+      Links_(
+          Loop, {.Self_ = State_.Self_},
+          {.OnUp_ =
+               [this](const InstanceInfo &Info) { handle(InstanceUp{Info}); },
+           .OnDown_ = [this](Incarnation Run) { handle(InstanceDown{Run}); },
+           .OnMessage_ =
+               [this](Incarnation From, FleetMessage Message) {
+                 handle(InstanceSaid{From, std::move(Message)});
+               },
+           .OnRejected_ =
+               [this](std::string_view From) {
+                 increment(State_.Counters_, Counter::PeerFramesRejected);
+                 logLine("frame_rejected", {{"from", std::string(From)}});
+               }}),
       Workers_(WorkerClient_, {},
                [this](FleetEvent Event) { handle(std::move(Event)); }),
       Store_(Loop, StoreClient_,
@@ -155,25 +157,27 @@
     if (auto Opened = Metrics_->listen(); !Opened)
       return Opened;
   }
-  logLine("start", {{"data_centre", Settings_.DataCentre_},
-                    {"run", formatHex(State_.Self_.Run_.Value_)},
-                    {"cpu_m", std::to_string(Settings_.CpuShare_)},
-                    {"lease_ms",
-                     std::to_string(State_.Options_.Holder_.Lease_.Count_)}});
-  std::set<Endpoint> Seeds;
-  for (const std::string &Address : Settings_.SeedAddresses_)
-    Seeds.insert({Address, Settings_.Links_.Port_});
-  Links_.addEndpoints(Seeds);
+  logLine("started", {{"data_centre", Settings_.DataCentre_},
+                      {"run", formatHex(State_.Self_.Run_.Value_)},
+                      {"cpu_m", std::to_string(Settings_.CpuShare_)},
+                      {"lease_ms",
+                       std::to_string(State_.Options_.Holder_.Lease_.Count_)}});
+  addSeeds(Settings_);
   handle(FleetTick{wallNow()});
   Store_.start();
-  Tick_ = std::make_unique<Timer>(Loop_, TickInterval, Timer::Mode::Repeat,
-                                  [this] {
-                                    handle(FleetTick{wallNow()});
-                                    checkStop();
-                                  });
+  Tick_ =
+      std::make_unique<Timer>(Loop_, TickInterval, Timer::Mode::Repeat, [this] {
+        handle(FleetTick{wallNow()});
+        checkStop();
+      });
   return {};
 }
 
+void FleetDaemon::applyLimits(const RequestLimits &Limits) {
+  Callers_.setLimits(Limits.MaxBodyBytes_, Limits.HeaderTimeout_,
+                     Limits.IdleTimeout_);
+}
+
 void FleetDaemon::handle(FleetEvent Happened) {
   Events_.push_back(std::move(Happened));
   if (IsHandling_)
@@ -231,8 +235,8 @@
     Log_.write({.What_ = "answer",
                 .Job_ = Id,
                 .IsFinal_ = true,
-                .Fields_ = {{"outcome", IsMalformed ? "malformed"
-                                                    : "not_supported"}}});
+                .Fields_ = {
+                    {"outcome", IsMalformed ? "malformed" : "not_supported"}}});
     if (IsMalformed)
       return jsonReply(400, R"({"error":"the body is no job"})");
     return encodeAnswer({.Outcome_ = JobOutcome::NotSupported,
@@ -260,16 +264,10 @@
   };
   return {.Status_ = 200,
           .Headers_ = {{"Content-Type", "text/plain; version=0.0.4"}},
-          .Body_ = renderCounters(State_.Counters_) +
-                   Gauge("jobs_open", State_.Jobs_.size()) +
-                   Gauge("workers_held", State_.Holds_.size()) +
-                   Gauge("workers_viewed", State_.Placing_.Workers_.size()) +
-                   Gauge("instances_linked", State_.Members_.size()) +
-                   Gauge("configuration_version", State_.Config_.Version_) +
+          .Body_ = renderMetrics(State_) +
                    Gauge("store_calls", Store_.calls()) +
                    Gauge("log_lines_dropped", Log_.dropped()) +
-                   Gauge("log_lines_sampled_out", Log_.sampledOut()) +
-                   Gauge("ready", isReady(State_) ? 1 : 0)};
+                   Gauge("log_lines_sampled_out", Log_.sampledOut())};
 }
 
 void FleetDaemon::stop() {
@@ -288,6 +286,14 @@
     return;
   }
   logLine("reload", {{"name", Given->Name_}});
+  addSeeds(*Given);
+}
+
+void FleetDaemon::addSeeds(const PlatformSettings &From) {
+  std::set<Endpoint> Seeds;
+  for (const std::string &Address : From.SeedAddresses_)
+    Seeds.insert({Address, Settings_.Links_.Port_});
+  Links_.addEndpoints(Seeds);
 }
 
 // Not ready at once, so that new connections go elsewhere; the end when every
@@ -298,8 +304,8 @@
   const Milliseconds Now = monotonicNow();
   const Milliseconds Since = Now - *StopAt_;
   const Milliseconds Bound = Settings_.StopGrace_ - StopMargin;
-  const bool IsQuiet = Since >= State_.Options_.StopTaking_ &&
-                       isIdle(State_) && Callers_.openRequests() == 0 &&
+  const bool IsQuiet = Since >= State_.Options_.StopTaking_ && isIdle(State_) &&
+                       Callers_.openRequests() == 0 &&
                        !Callers_.hasUnsentBytes();
   if (!IsQuiet)
     QuietSince_.reset();
@@ -312,9 +318,9 @@
   const bool IsDone = QuietSince_ && Now - *QuietSince_ >= LastBytes;
   if (!IsDone && Since < Bound + LastBytes)
     return;
-  logLine("stopped", {{"after_ms", std::to_string(Since.Count_)},
-                      {"open_requests",
-                       std::to_string(Callers_.openRequests())}});
+  logLine("stopped",
+          {{"after_ms", std::to_string(Since.Count_)},
+           {"open_requests", std::to_string(Callers_.openRequests())}});
   Loop_.stop();
 }
 
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -43,6 +43,8 @@
   std::optional<HttpReply> submit(HttpRequest &&Request, std::string Path,
                                   uint64_t Id);
   void checkStop();
+  void addSeeds(const platform::PlatformSettings &From);
+  void applyLimits(const platform::RequestLimits &Limits);
   void logLine(std::string_view What, std::vector<LogField> Fields);
   platform::StoreWatchEvents storeEvents();
 
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -68,7 +68,8 @@
 
 int main(int Count, char **Arguments) {
   const char *File = std::getenv(SettingsFileVariable);
-  if (File != nullptr && Count > 1 && std::string_view(Arguments[1]) == "platform")
+  if (File != nullptr && Count > 1 &&
+      std::string_view(Arguments[1]) == "platform")
     return runOnPlatform(File);
   const auto Line = readSettings(Count, Arguments);
   if (!Line) {
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -13,3 +13,5 @@
   > docs/SETTINGS.md
 awk -f scripts/generate-counters.awk \
   coordination/marjorambend/src/Support/Counters.def > docs/METRICS.md
+awk -f scripts/generate-logs.awk \
+  coordination/marjorambend/src/Fleet/LogLines.def > docs/LOGS.md
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -12,8 +12,8 @@
 
 step "generated code is up to date"
 scripts/generate.sh
-if [ -n "$(git status --porcelain -- transport/generated docs/SETTINGS.md docs/METRICS.md)" ]; then
-  git --no-pager diff --stat -- transport/generated docs/SETTINGS.md docs/METRICS.md
+if [ -n "$(git status --porcelain -- transport/generated docs/SETTINGS.md docs/METRICS.md docs/LOGS.md)" ]; then
+  git --no-pager diff --stat -- transport/generated docs/SETTINGS.md docs/METRICS.md docs/LOGS.md
   echo "run scripts/generate.sh and commit its results"
   exit 1
 fi
--- a/transport/marjorambend/src/Transport/DecisionLog.h
+++ b/transport/marjorambend/src/Transport/DecisionLog.h
@@ -12,8 +12,8 @@
 
 /// \brief Bounds of the log.
 struct DecisionLogOptions {
-  int Descriptor_ = 1;     ///< Standard output.
-  std::string Instance_;   ///< Written on every line.
+  int Descriptor_ = 1;                    ///< Standard output.
+  std::string Instance_;                  ///< Written on every line.
   std::size_t MaxBuffered_ = 256U << 10U; ///< Bytes; more are dropped.
   /// Bytes a second above which jobs are sampled whole; about three times what
   /// an instance writes at the users' busiest hour.
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -271,6 +271,14 @@
   evhtp_request_resume(Request);
 }
 
+void HttpServer::setLimits(std::size_t MaxBodyBytes,
+                           Milliseconds RequestTimeout,
+                           Milliseconds IdleTimeout) {
+  Options_.MaxBodyBytes_ = MaxBodyBytes;
+  Options_.RequestTimeout_ = RequestTimeout;
+  Options_.IdleTimeout_ = IdleTimeout;
+}
+
 bool HttpServer::hasUnsentBytes() const {
   for (const auto &[Raw, State] : Connections_) {
     if (Raw->bev != nullptr &&
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -71,6 +71,10 @@
   /// \brief Answers a request; nothing happens if its sender is gone.
   void reply(uint64_t Token, const HttpReply &Reply);
 
+  /// \brief Changes the bounds of what arrives from now on.
+  void setLimits(std::size_t MaxBodyBytes, Milliseconds RequestTimeout,
+                 Milliseconds IdleTimeout);
+
   /// \brief Closes each connection after its next answer.
   void closeAfterAnswers() { IsClosing_ = true; }
 
--- a/transport/marjorambend/src/Transport/SessionLinks.cpp
+++ b/transport/marjorambend/src/Transport/SessionLinks.cpp
@@ -187,8 +187,7 @@
 bool SessionLinks::take(Connection &From, const SessionFrame &Frame) {
   if (const auto *Hello = std::get_if<SessionHello>(&Frame.Body_))
     return greet(From, *Hello);
-  const auto Found =
-      From.Run_ ? Sessions_.find(*From.Run_) : Sessions_.end();
+  const auto Found = From.Run_ ? Sessions_.find(*From.Run_) : Sessions_.end();
   if (Found == Sessions_.end() || Found->second.Session_.PeerNonce_ == 0)
     return true;
   Session &State = Found->second.Session_;
@@ -200,7 +199,8 @@
     connectionLost(From, false);
     return false;
   }
-  const bool IsRepeated = Frame.Sequence_ != 0 && !isNext(State, Frame.Sequence_);
+  const bool IsRepeated =
+      Frame.Sequence_ != 0 && !isNext(State, Frame.Sequence_);
   if (!IsRepeated)
     Events_.OnMessage_(*From.Run_, std::get<FleetMessage>(Frame.Body_));
   return Connections_.contains(&From);
@@ -225,7 +225,8 @@
   // A new run at the same address has replaced the old one.
   std::vector<Incarnation> Replaced;
   for (const auto &[Run, State] : Sessions_) {
-    if (Run != Info.Run_ && endpointOf(State.Session_.Peer_) == endpointOf(Info))
+    if (Run != Info.Run_ &&
+        endpointOf(State.Session_.Peer_) == endpointOf(Info))
       Replaced.push_back(Run);
   }
   for (const Incarnation Run : Replaced)
