--- a/coordination/marjorambend/src/Support/Histogram.cpp
+++ b/coordination/marjorambend/src/Support/Histogram.cpp
@@ -15,7 +15,6 @@
 std::string renderHistogram(const Histogram &From, std::string_view Name,
                             std::string_view Labels) {
   const std::string Whole = "marjorambend_" + std::string(Name);
-  const std::string Comma = Labels.empty() ? "" : ",";
   std::string Text;
   uint64_t Below = 0;
   for (std::size_t Index = 0; Index < From.Buckets_.size(); ++Index) {
@@ -23,13 +22,17 @@
     const std::string Bound = Index < HistogramBounds.size()
                                   ? std::to_string(HistogramBounds[Index])
                                   : "+Inf";
-    Text += Whole + "_bucket{" + std::string(Labels) + Comma + "le=\"" + Bound +
-            "\"} " + std::to_string(Below) + '\n';
+    Text.append(Whole).append("_bucket{").append(Labels);
+    Text.append(Labels.empty() ? "le=\"" : ",le=\"").append(Bound);
+    Text.append("\"} ").append(std::to_string(Below)).append("\n");
   }
-  const std::string Braces =
-      Labels.empty() ? "" : '{' + std::string(Labels) + '}';
-  Text += Whole + "_sum" + Braces + ' ' + std::to_string(From.Sum_) + '\n';
-  Text += Whole + "_count" + Braces + ' ' + std::to_string(From.Count_) + '\n';
+  std::string Braces;
+  if (!Labels.empty())
+    Braces.append("{").append(Labels).append("}");
+  Text.append(Whole).append("_sum").append(Braces).append(" ");
+  Text.append(std::to_string(From.Sum_)).append("\n");
+  Text.append(Whole).append("_count").append(Braces).append(" ");
+  Text.append(std::to_string(From.Count_)).append("\n");
   return Text;
 }
 
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -86,7 +86,9 @@
                 handle(WorkersRead{std::move(Workers)});
               },
           .OnInstances_ =
-              [this](std::set<Endpoint> Known) { Links_.addEndpoints(Known); },
+              [this](const std::set<Endpoint> &Known) {
+                Links_.addEndpoints(Known);
+              },
           .OnConfigConfirmed_ = [this] { handle(ConfigConfirmed{}); },
           .ShouldReadWorkers_ =
               [this] { return shouldReadList(State_, monotonicNow()); },
--- a/scripts/run-clang-tidy.sh
+++ b/scripts/run-clang-tidy.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 git ls-files 'coordination/marjorambend/*.cpp' 'transport/marjorambend/*.cpp' \
-  'daemon/*.cpp' 'ctl/*.cpp' 'tools/*.cpp' 'bench/*.cpp' |
+  'platform/*.cpp' 'daemon/*.cpp' 'ctl/*.cpp' 'tools/*.cpp' 'bench/*.cpp' |
   xargs -P "$(nproc)" -n 1 clang-tidy --quiet \
   --extra-arg=-Wno-unknown-warning-option -p "$1"
