Leave workers of a data centre that is only cut off to its own instances

Workers of another data centre are claimed only after 10 s without anybody there, and a claim that fails is dropped. Lost instances are dialled every 300 ms, was 1 s. Ruled out: the store (regained at the same moment, but the runs were fenced, not refused) and the placer (unchanged on that side).

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -49,6 +49,20 @@
   return Best == &State.Self_;
 }
 
+// Instances that are cut off go on with their workers. A claim from the other
+// side would pass as soon as the cut heals, before they are heard again, and
+// take them all away.
+static bool isLeftToOthers(const FleetInstance &State,
+                           const WorkerReport &Worker, Milliseconds Now) {
+  if (Worker.DataCentre_ == State.Self_.DataCentre_)
+    return false;
+  const auto Heard = State.CentreHeardAt_.find(Worker.DataCentre_);
+  Milliseconds Since = State.StartedAt_;
+  if (Heard != State.CentreHeardAt_.end())
+    Since = std::max(Since, Heard->second);
+  return Now - Since < State.Options_.Holder_.FarClaimAfter_;
+}
+
 static void look(FleetTurn &T, WorkerHold &Hold) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
   const bool IsRenewing = Hold.Phase_ == HoldPhase::Open && Hold.ClockOffset_ &&
@@ -87,6 +101,7 @@
   const WorkersDropped Message{{Id}};
   tellAll(T, Message);
   tell(T, T.State_.Self_.Run_, Message);
+  T.State_.FencedUntil_[Id] = T.Now_ + T.State_.Options_.Holder_.FencedPause_;
   T.State_.Holds_.erase(Id);
 }
 
@@ -136,6 +151,10 @@
 static void noteFailedLook(FleetTurn &T, WorkerHold &Hold) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
   ++Hold.FailedLooks_;
+  // It is claimed anew only if nobody there was heard until then.
+  if (Hold.Phase_ == HoldPhase::Claiming &&
+      Hold.Report_.DataCentre_ != T.State_.Self_.DataCentre_)
+    Hold.IsClosing_ = true;
   // The first failure may be the connection's fault alone.
   Hold.NextLookAt_ =
       Hold.FailedLooks_ == 1 ? T.Now_ : T.Now_ + Options.RetryPause_;
@@ -293,7 +312,8 @@
     return;
   for (auto &[Id, Hold] : State.Holds_) {
     const bool IsFar = Hold.Report_.DataCentre_ != State.Self_.DataCentre_;
-    Hold.IsClosing_ = IsFar && !isRightfulHolder(State, Hold.Report_);
+    Hold.IsClosing_ =
+        Hold.IsClosing_ || (IsFar && !isRightfulHolder(State, Hold.Report_));
   }
   for (const auto &[Id, Report] : State.Listed_) {
     if (State.Holds_.contains(Id) || State.HeldByOthers_.contains(Id))
@@ -301,7 +321,8 @@
     const auto Fenced = State.FencedUntil_.find(Id);
     if (Fenced != State.FencedUntil_.end() && Fenced->second > T.Now_)
       continue;
-    if (isRightfulHolder(State, Report))
+    if (isRightfulHolder(State, Report) &&
+        !isLeftToOthers(State, Report, T.Now_))
       claim(T, Report);
   }
 }
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -183,6 +183,8 @@
   log(T, "instance_down", 0,
       {{"other", Found->second.Info_.Name_},
        {"silent_ms", text(T.Now_ - Found->second.HeardAt_)}});
+  Milliseconds &Heard = State.CentreHeardAt_[Found->second.Info_.DataCentre_];
+  Heard = std::max(Heard, Found->second.HeardAt_);
   State.Members_.erase(Found);
   forgetInstance(T, Run);
   stopRunsOf(T, Run);
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -84,6 +84,8 @@
 
   std::map<std::string, WorkerHold> Holds_;
   std::map<std::string, Milliseconds> FencedUntil_;
+  /// When an instance of a data centre that has none any more was last heard.
+  std::map<std::string, Milliseconds> CentreHeardAt_;
   Milliseconds NextHoldReview_;
 
   PlacerState Placing_;
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -44,6 +44,9 @@
   /// Time after the start in which workers are left to others; instances of one
   /// deployment start within 300 ms of each other.
   Milliseconds Settle_{500};
+  /// Silence of all instances of another data centre after which its workers
+  /// are claimed from here; longer than the cuts that the users expect.
+  Milliseconds FarClaimAfter_{10'000};
   /// How long a worker is left alone after another holder has taken it.
   Milliseconds FencedPause_{1'000};
 };
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -151,3 +151,35 @@
   }
   CHECK(S_.State_.Holds_.at("w").Runs_.at(Run_).Phase_ == RunPhase::Stopping);
 }
+
+TEST_GROUP(AWorkerOfAnotherDataCentre) {
+  Story S_;
+  void setup() override {
+    WorkerReport Far = Story::worker("far");
+    Far.DataCentre_ = "dc2";
+    S_.meet(2, "dc2");
+    S_.give(WorkersRead{{Far}});
+    S_.pass(1'000);
+  }
+};
+
+// Load pattern: a data centre is cut off for seconds, and heals.
+TEST(AWorkerOfAnotherDataCentre, IsLeftToInstancesThatAreOnlyCutOff) {
+  S_.give(InstanceDown{{2}});
+  S_.pass(7'000);
+  CHECK(S_.State_.Holds_.empty());
+}
+
+TEST(AWorkerOfAnotherDataCentre, IsClaimedOnceNobodyIsThereForLong) {
+  S_.give(InstanceDown{{2}});
+  S_.pass(11'000);
+  CHECK(S_.State_.Holds_.contains("far"));
+}
+
+TEST(AWorkerOfAnotherDataCentre, IsLetGoIfItCannotBeReached) {
+  S_.give(InstanceDown{{2}});
+  S_.pass(11'000);
+  S_.give(WorkerListed{.Worker_ = "far", .Look_ = S_.LastLook_.Look_});
+  S_.pass(40);
+  CHECK(S_.State_.Holds_.empty());
+}
--- a/transport/marjorambend/src/Transport/SessionLinks.h
+++ b/transport/marjorambend/src/Transport/SessionLinks.h
@@ -35,7 +35,7 @@
   /// Pause between two attempts to reach an instance.
   Milliseconds Redial_{100};
   /// Pause if it was never reached or is long gone.
-  Milliseconds SlowRedial_{1'000};
+  Milliseconds SlowRedial_{300};
 };
 
 /// \brief What links tell their owner.
