--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -67,6 +67,10 @@
 void placeTasks(FleetTurn &T);
 /// @}
 
+/// \brief Whether \p A rather than \p B places or reads for others: the one
+/// with more processor time, then by name.
+bool isPreferred(const InstanceInfo &A, const InstanceInfo &B);
+
 /// \brief Sends a message to an instance, which may be this one.
 void tell(FleetTurn &T, Incarnation To, FleetMessage Message);
 
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -20,6 +20,9 @@
 void blameHold(FleetTurn &T, WorkerHold &Hold, std::string_view Why);
 void finishRun(FleetTurn &T, WorkerHold &Hold, const RunId &Id, RunEnd End);
 void finishAllRuns(FleetTurn &T, WorkerHold &Hold, RunEnd End);
+/// Takes the worker's clock from any of its answers.
+void noteClock(FleetTurn &T, WorkerHold &Hold,
+               std::optional<Milliseconds> Clock);
 void sendStop(FleetTurn &T, WorkerHold &Hold, const RunId &Id, HeldRun &Run);
 void applyLists(FleetTurn &T, WorkerHold &Hold, const WorkerListed &Listed);
 /// @}
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -116,10 +116,7 @@
         Other.Info_.DataCentre_ == State.Self_.DataCentre_ &&
         Other.Status_.IsReady_ && !Other.Status_.IsStopping_ &&
         Now - Other.HeardAt_ <= State.Options_.PlacerSilence_;
-    const bool IsBetter = Other.Info_.CpuShare_ != State.Self_.CpuShare_
-                              ? Other.Info_.CpuShare_ > State.Self_.CpuShare_
-                              : Other.Info_.Name_ < State.Self_.Name_;
-    if (IsCandidate && IsBetter)
+    if (IsCandidate && internal::isPreferred(Other.Info_, State.Self_))
       return false;
   }
   return true;
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Jobs at the instance that took them from their callers.
 
-#include "marjorambend/src/Fleet/FleetStep.h"
+#include "marjorambend/src/Fleet/OriginStep.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,7 +14,7 @@
 
 static constexpr Milliseconds NoPatienceKnown{60'000};
 
-static OriginJob *findJob(FleetInstance &State, uint64_t Number) {
+OriginJob *findJob(FleetInstance &State, uint64_t Number) {
   const auto Found = State.Jobs_.find(Number);
   return Found == State.Jobs_.end() ? nullptr : &Found->second;
 }
@@ -42,7 +42,7 @@
   Job.Tokens_.clear();
 }
 
-static void forgetJob(FleetTurn &T, const OriginJob &Job) {
+void forgetJob(FleetTurn &T, const OriginJob &Job) {
   FleetInstance &State = T.State_;
   State.GiveUps_.erase({Job.GiveUpAt_, Job.Number_});
   const auto Id = State.JobById_.find(Job.Submission_.Id_);
@@ -51,7 +51,7 @@
   State.Jobs_.erase(Job.Number_);
 }
 
-static bool hasRuns(const OriginJob &Job) {
+bool hasRuns(const OriginJob &Job) {
   return std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
                      [](const OriginTask &Task) {
                        return Task.Phase_ == OriginTaskPhase::Ordered;
@@ -78,16 +78,15 @@
     forgetJob(T, Job);
 }
 
-static void giveUpJob(FleetTurn &T, OriginJob &Job, std::string_view Why,
-                      Milliseconds RetryAfter) {
+void giveUpJob(FleetTurn &T, OriginJob &Job, std::string_view Why,
+               Milliseconds RetryAfter) {
   const JobOutcome Outcome =
       Job.HasStarted_ ? JobOutcome::MayHaveRun : JobOutcome::NotRun;
   answerJob(T, Job, Outcome, Why, RetryAfter);
   closeJob(T, Job);
 }
 
-static void requestTasks(FleetTurn &T, OriginJob &Job,
-                         std::vector<uint32_t> Tasks) {
+void requestTasks(FleetTurn &T, OriginJob &Job, std::vector<uint32_t> Tasks) {
   const JobSubmission &Given = Job.Submission_;
   Job.Placer_ = T.State_.Placer_;
   tell(T, Job.Placer_,
@@ -106,7 +105,7 @@
                     .MaxPerWorker_ = Given.MaxPerWorker_});
 }
 
-static std::vector<uint32_t> waitingTasks(const OriginJob &Job) {
+std::vector<uint32_t> waitingTasks(const OriginJob &Job) {
   std::vector<uint32_t> Waiting;
   for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
     if (Job.Tasks_[Index].Phase_ == OriginTaskPhase::Waiting)
@@ -260,7 +259,7 @@
                   .Spec_ = Job.Submission_.Spec_});
 }
 
-static bool isReachable(const FleetInstance &State, Incarnation Run) {
+bool isReachable(const FleetInstance &State, Incarnation Run) {
   return Run == State.Self_.Run_ || State.Members_.contains(Run);
 }
 
@@ -396,52 +395,4 @@
               T.State_.Options_.Placer_.LeastRetryAfter_);
 }
 
-static bool isBetterPlacer(const InstanceInfo &A, const InstanceInfo &B) {
-  if (A.CpuShare_ != B.CpuShare_)
-    return A.CpuShare_ > B.CpuShare_;
-  return A.Name_ < B.Name_;
-}
-
-// What waits and what is reserved moves to the new placer.
-static void moveToPlacer(FleetTurn &T, Incarnation Before) {
-  const bool IsBeforeThere = isReachable(T.State_, Before);
-  for (auto &[Number, Job] : T.State_.Jobs_) {
-    std::vector<uint32_t> Waiting = waitingTasks(Job);
-    if (!Waiting.empty() && IsBeforeThere)
-      tell(T, Before, PlaceWithdraw{Number});
-    if (!Waiting.empty())
-      requestTasks(T, Job, std::move(Waiting));
-    for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
-      OriginTask &Task = Job.Tasks_[Index];
-      if (Task.Phase_ != OriginTaskPhase::Ordered)
-        continue;
-      if (isReachable(T.State_, Task.Placer_))
-        tell(T, Task.Placer_, PlaceRelease{Number, Index, RunEnd::Done});
-      Task.Placer_ = T.State_.Placer_;
-      tell(T, Task.Placer_,
-           PlaceAdopt{Number, Index, Task.Worker_, Job.Submission_.Needs_});
-    }
-  }
-}
-
-void choosePlacer(FleetTurn &T) {
-  FleetInstance &State = T.State_;
-  const InstanceInfo *Best = isReady(State) ? &State.Self_ : nullptr;
-  for (const auto &[Run, Other] : State.Members_) {
-    const bool IsEligible =
-        Other.Status_.IsReady_ && !Other.Status_.IsStopping_ &&
-        T.Now_ - Other.HeardAt_ <= State.Options_.PlacerSilence_;
-    if (IsEligible && (Best == nullptr || isBetterPlacer(Other.Info_, *Best)))
-      Best = &Other.Info_;
-  }
-  const Incarnation Chosen = Best == nullptr ? State.Self_.Run_ : Best->Run_;
-  if (Chosen == State.Placer_)
-    return;
-  const Incarnation Before = State.Placer_;
-  State.Placer_ = Chosen;
-  log(T, "placer", 0,
-      {{"other", Best == nullptr ? State.Self_.Name_ : Best->Name_}});
-  moveToPlacer(T, Before);
-}
-
 } // namespace marjorambend::internal
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/OriginStep.h
@@ -0,0 +1,32 @@
+#ifndef MARJORAMBEND_FLEET_ORIGINSTEP_H
+#define MARJORAMBEND_FLEET_ORIGINSTEP_H
+
+#include "marjorambend/src/Fleet/FleetStep.h"
+
+namespace marjorambend::internal {
+
+/// \brief The job of that number, or nullptr.
+OriginJob *findJob(FleetInstance &State, uint64_t Number);
+
+/// \brief Removes a job of which nothing runs.
+void forgetJob(FleetTurn &T, const OriginJob &Job);
+
+/// \brief Whether a task of it may run.
+bool hasRuns(const OriginJob &Job);
+
+/// \brief Answers that the job was not run, or may have run; stops its runs.
+void giveUpJob(FleetTurn &T, OriginJob &Job, std::string_view Why,
+               Milliseconds RetryAfter);
+
+/// \brief Asks the placer for workers for some tasks.
+void requestTasks(FleetTurn &T, OriginJob &Job, std::vector<uint32_t> Tasks);
+
+/// \brief Its tasks that wait for a worker.
+std::vector<uint32_t> waitingTasks(const OriginJob &Job);
+
+/// \brief Whether messages to that instance arrive.
+bool isReachable(const FleetInstance &State, Incarnation Run);
+
+} // namespace marjorambend::internal
+
+#endif // MARJORAMBEND_FLEET_ORIGINSTEP_H
