--- a/bench/coordination_bench.cpp
+++ b/bench/coordination_bench.cpp
@@ -7,6 +7,7 @@
 #include <marjorambend/Admission>
 #include <marjorambend/Claims>
 #include <marjorambend/Configuration>
+#include <marjorambend/Fleet>
 #include <marjorambend/Instance>
 #include <marjorambend/Jobs>
 #include <marjorambend/Membership>
@@ -123,4 +124,79 @@
 }
 BENCHMARK(idleTickCost)->Args({17, 8})->Args({275, 8})->Args({275, 40});
 
+/// One instance that is origin, placer and holder of \p Workers_ workers.
+struct FleetFixture {
+  FleetInstance State_ = makeFleetInstance({.DataCentre_ = "dc"}, 1);
+  Milliseconds Now_{1'000};
+  std::map<std::string, uint64_t> Looks_;
+
+  explicit FleetFixture(int Workers) {
+    give(FleetTick{{1'700'000'000'000}});
+    give(ConfigRead{.Config_ = {.Version_ = 1,
+                                .Routes_ = {{.Name_ = "r",
+                                             .Host_ = "h",
+                                             .Prefix_ = "/p/",
+                                             .Service_ = "s",
+                                             .StretchFactor_ = 1.6}}}});
+    WorkersRead Read;
+    for (int Index = 0; Index < Workers; ++Index)
+      Read.Workers_.push_back({.Id_ = "w" + std::to_string(Index),
+                               .Service_ = "s",
+                               .DataCentre_ = "dc",
+                               .Capacity_ = {64'000, 100'000, 0},
+                               .Life_ = 1});
+    give(Read);
+    Now_ = Now_ + Milliseconds{550};
+    give(FleetTick{{1'700'000'000'000}});
+    const auto Claims = Looks_;
+    for (const auto &[Worker, Look] : Claims)
+      list(Worker, {});
+  }
+
+  std::vector<StartRun> give(FleetEvent Event) {
+    std::vector<StartRun> Starts;
+    for (const FleetAction &One : step(State_, std::move(Event), Now_)) {
+      if (const auto *Look = std::get_if<LookAtWorker>(&One))
+        Looks_[Look->Worker_.Id_] = Look->Look_;
+      if (const auto *Start = std::get_if<StartRun>(&One))
+        Starts.push_back(*Start);
+    }
+    return Starts;
+  }
+  void list(const std::string &Worker, std::vector<ListedEnd> Ended) {
+    give(WorkerListed{.Worker_ = Worker,
+                      .Look_ = Looks_[Worker],
+                      .Result_ = OrderResult::Accepted,
+                      .Life_ = 1,
+                      .WorkerClock_ = Now_,
+                      .Ended_ = std::move(Ended)});
+  }
+};
+
+// A job of four tasks from its arrival to its answer; the figure is for all
+// four, without sockets.
+static void fleetJob(benchmark::State &Round) {
+  FleetFixture Fleet(static_cast<int>(Round.range(0)));
+  std::map<std::string, uint64_t> Ends;
+  uint64_t Id = 1;
+  for (auto _ : Round) {
+    JobSubmission Job{.Token_ = Id,
+                      .Id_ = Id,
+                      .Host_ = "h",
+                      .Path_ = "/p/",
+                      .Spec_ = std::string(2'400, 'x'),
+                      .Tasks_ = 4,
+                      .Needs_ = {27'000, 64, 0},
+                      .Estimate_ = {100}};
+    ++Id;
+    for (const StartRun &One : Fleet.give(std::move(Job))) {
+      const std::string &Worker = One.Worker_.Id_;
+      Fleet.give(
+          StartAnswered{Worker, One.Run_, OrderResult::Accepted, Fleet.Now_});
+      Fleet.list(Worker, {{++Ends[Worker], One.Run_, RunEnd::Done}});
+    }
+  }
+}
+BENCHMARK(fleetJob)->Arg(9)->Arg(48)->Arg(350);
+
 BENCHMARK_MAIN();
--- /dev/null
+++ b/coordination/test/Golden/FleetSessions.cpp
@@ -0,0 +1,128 @@
+#include "TestMain.h"
+
+#include "Fleet/Story.h"
+
+#include <fstream>
+#include <sstream>
+
+using namespace marjorambend;
+using namespace marjorambend::test;
+
+static std::string describe(const RunId &Run) {
+  return formatHex(Run.Job_) + '.' + std::to_string(Run.Task_) + '#' +
+         std::to_string(Run.Attempt_);
+}
+
+/// Writes an action as a line; looks are left out, they go on all the time.
+struct ActionWriter {
+  std::string operator()(const AnswerJob &A) const {
+    return "answer " + std::to_string(A.Token_) + ": " + nameOf(A.Outcome_);
+  }
+  std::string operator()(const StartRun &A) const {
+    return "start " + describe(A.Run_) + " on " + A.Worker_.Id_;
+  }
+  std::string operator()(const StopRun &A) const {
+    return "stop " + describe(A.Run_) + " on " + A.Worker_.Id_;
+  }
+  std::string operator()(const LookAtWorker &) const { return {}; }
+  std::string operator()(const TellInstance &A) const {
+    return "tell " + std::to_string(A.To_.Value_) + " message " +
+           std::to_string(A.Message_.index());
+  }
+  std::string operator()(const DecodeConfigText &) const {
+    return "decode a configuration";
+  }
+  std::string operator()(const LogDecision &A) const {
+    std::string Text = "log " + std::string(A.What_);
+    for (const auto &[Name, Value] : A.Fields_) {
+      if (Name != "fence")
+        Text.append(" ").append(Name).append("=").append(Value);
+    }
+    return Text;
+  }
+};
+
+TEST_GROUP(SessionsOfTheFleet) {
+  Story S_;
+  std::string Text_;
+
+  void happen(const std::string &What, const FleetActions &Wanted) {
+    Text_ += What + '\n';
+    for (const FleetAction &One : Wanted) {
+      const std::string Line = std::visit(ActionWriter{}, One);
+      if (!Line.empty())
+        Text_ += "  " + Line + '\n';
+    }
+  }
+  void compare(const std::string &Name) const {
+    const std::string Path =
+        std::string(MARJORAMBEND_GOLDEN_FOLDER) + "/fleet-" + Name + ".txt";
+    if (std::getenv("MARJORAMBEND_UPDATE_GOLDEN") != nullptr)
+      std::ofstream(Path) << Text_;
+    std::ostringstream Golden;
+    Golden << std::ifstream(Path).rdbuf();
+    STRCMP_EQUAL(Golden.str().c_str(), Text_.c_str());
+  }
+  void setup() override { S_.prepare(); }
+};
+
+TEST(SessionsOfTheFleet, AJobIsServed) {
+  happen("a job of two tasks arrives", S_.give(S_.job(7, 1, 2)));
+  happen("the first has started",
+         S_.startAnswered(OrderResult::Accepted, {7, 0, 1}));
+  happen("the second has started",
+         S_.startAnswered(OrderResult::Accepted, {7, 1, 1}));
+  happen("the first is done", S_.list({{7, 1, 1}}, {{1, {7, 0, 1}}}));
+  happen("the second is done", S_.list({}, {{2, {7, 1, 1}}}));
+  compare("served");
+}
+
+TEST(SessionsOfTheFleet, AStartHasNoAnswer) {
+  happen("a job arrives", S_.give(S_.job()));
+  happen("its start has no answer", S_.startAnswered(OrderResult::Unknown));
+  happen("the stop is confirmed",
+         S_.give(StopAnswered{
+             "w", {7, 0, 1}, OrderResult::Accepted, std::nullopt}));
+  happen("a look sent before lists nothing", S_.list({}));
+  happen("a look sent after lists nothing", S_.list({}));
+  compare("no-answer");
+}
+
+TEST(SessionsOfTheFleet, ACallerLeaves) {
+  happen("a job arrives", S_.give(S_.job()));
+  happen("it has started", S_.startAnswered(OrderResult::Accepted));
+  happen("its caller leaves", S_.give(JobAbandoned{1}));
+  happen("the stop is confirmed",
+         S_.give(StopAnswered{
+             "w", {7, 0, 1}, OrderResult::Accepted, std::nullopt}));
+  happen("its end is listed", S_.list({}, {{1, {7, 0, 1}, RunEnd::Stopped}}));
+  compare("caller-leaves");
+}
+
+TEST(SessionsOfTheFleet, AnotherHolderTakesTheWorker) {
+  happen("a job arrives", S_.give(S_.job()));
+  happen("it has started", S_.startAnswered(OrderResult::Accepted));
+  happen("a look is refused",
+         S_.give(WorkerListed{.Worker_ = "w",
+                              .Look_ = S_.LastLook_.Look_,
+                              .Result_ = OrderResult::Fenced}));
+  happen("the lease ends", S_.pass(1'000));
+  compare("fenced");
+}
+
+TEST(SessionsOfTheFleet, TheProcessStandsStill) {
+  happen("a job arrives", S_.give(S_.job()));
+  happen("it has started", S_.startAnswered(OrderResult::Accepted));
+  S_.freeze(2'000);
+  happen("two seconds later another arrives", S_.give(S_.job(8, 8)));
+  compare("pause");
+}
+
+TEST(SessionsOfTheFleet, TheInstanceStops) {
+  happen("a job arrives", S_.give(S_.job()));
+  happen("it has started", S_.startAnswered(OrderResult::Accepted));
+  happen("the order to stop", S_.give(FleetStop{}));
+  happen("it is done", S_.list({}, {{1, {7, 0, 1}}}));
+  happen("a moment later", S_.pass(40));
+  compare("stop");
+}
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,8 +3,10 @@
 set -euo pipefail
 run=""
 [ "$(id -u)" = 0 ] || run=sudo
-$run apt-get update -qq
-DEBIAN_FRONTEND=noninteractive $run apt-get install -y -qq --no-install-recommends \
+# Another package command may hold the lock for a while.
+lock="-o DPkg::Lock::Timeout=60"
+$run apt-get $lock update -qq
+DEBIAN_FRONTEND=noninteractive $run apt-get $lock install -y -qq --no-install-recommends \
   g++ cmake ninja-build git gawk curl clang-format clang-tidy \
   libevent-dev libevhtp-dev libssl-dev libflatbuffers-dev flatbuffers-compiler \
   libgflags-dev libspdlog-dev libexpected-dev nlohmann-json3-dev libxxhash-dev \
