--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -18,7 +18,7 @@
 void tellHold(FleetTurn &T, WorkerHold &Hold);
 void tellIfChanged(FleetTurn &T, WorkerHold &Hold);
 void blameHold(FleetTurn &T, WorkerHold &Hold, std::string_view Why);
-void finishRun(FleetTurn &T, WorkerHold &Hold, const RunId &Id, RunEnd End);
+void finishRun(FleetTurn &T, WorkerHold &Hold, RunId Id, RunEnd End);
 void finishAllRuns(FleetTurn &T, WorkerHold &Hold, RunEnd End);
 /// Takes the worker's clock from any of its answers.
 void noteClock(FleetTurn &T, WorkerHold &Hold,
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -106,7 +106,8 @@
        {"for_ms", text(Options.Ejection_)}});
 }
 
-void finishRun(FleetTurn &T, WorkerHold &Hold, const RunId &Id, RunEnd End) {
+// The identity is a copy: the caller's may be the key that is erased here.
+void finishRun(FleetTurn &T, WorkerHold &Hold, RunId Id, RunEnd End) {
   const auto Found = Hold.Runs_.find(Id);
   if (Found == Hold.Runs_.end())
     return;
