--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -208,7 +208,7 @@
   // A list with strangers, or one of nothing new, must not make a busy loop.
   Hold.NextLookAt_ = T.Now_;
   if (Hold.Phase_ == HoldPhase::Claiming)
-    Hold.NextLookAt_ = T.Now_ + Milliseconds{20};
+    Hold.NextLookAt_ = T.Now_ + T.State_.Options_.Holder_.ClaimPause_;
   else
     look(T, Hold);
 }
--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -27,11 +27,6 @@
   return false;
 }
 
-static std::string gauge(const std::string &Name, uint64_t Value) {
-  return "# TYPE marjorambend_" + Name + " gauge\nmarjorambend_" + Name + ' ' +
-         std::to_string(Value) + '\n';
-}
-
 static std::string typeOf(const std::string &Name) {
   return "# TYPE marjorambend_" + Name + " histogram\n";
 }
@@ -52,14 +47,14 @@
 
 std::string renderMetrics(const FleetInstance &State) {
   std::string Text = renderCounters(State.Counters_);
-  Text += internal::gauge("jobs_open", State.Jobs_.size());
-  Text += internal::gauge("jobs_waiting", State.Placing_.Waiting_.size());
-  Text += internal::gauge("workers_held", State.Holds_.size());
-  Text += internal::gauge("workers_viewed", State.Placing_.Workers_.size());
-  Text += internal::gauge("instances_linked", State.Members_.size());
-  Text += internal::gauge("configuration_version", State.Config_.Version_);
-  Text += internal::gauge("is_placer", State.Placer_ == State.Self_.Run_);
-  Text += internal::gauge("ready", isReady(State) ? 1 : 0);
+  Text += renderGauge("jobs_open", State.Jobs_.size());
+  Text += renderGauge("jobs_waiting", State.Placing_.Waiting_.size());
+  Text += renderGauge("workers_held", State.Holds_.size());
+  Text += renderGauge("workers_viewed", State.Placing_.Workers_.size());
+  Text += renderGauge("instances_linked", State.Members_.size());
+  Text += renderGauge("configuration_version", State.Config_.Version_);
+  Text += renderGauge("is_placer", State.Placer_ == State.Self_.Run_);
+  Text += renderGauge("ready", isReady(State) ? 1 : 0);
   Text += internal::typeOf("answer_milliseconds");
   for (std::size_t Index = 0; Index < JobOutcomeCount; ++Index)
     Text += renderHistogram(State.Times_.Answers_[Index], "answer_milliseconds",
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -28,6 +28,9 @@
   Milliseconds IdleWait_{500};
   /// Pause before a look or a stop that failed is repeated.
   Milliseconds RetryPause_{100};
+  /// Pause between two looks at a worker whose former runs are being stopped;
+  /// a stop takes up to 50 ms.
+  Milliseconds ClaimPause_{20};
   /// Failed looks in a row after which a worker is suspected.
   uint32_t SuspectAfter_ = 2;
   /// Bad ends in a row, of different jobs, after which a worker is ejected.
@@ -37,6 +40,7 @@
   /// Time without any progress, beside a share of the estimate, after which a
   /// run is taken for hung.
   Milliseconds HangFloor_{400};
+  double HangShare_ = 0.25;
   /// Weight of the newest run in the learnt slowness.
   double LearningRate_ = 0.2;
   /// Relative change of the slowness that is worth a message.
--- a/coordination/marjorambend/src/Fleet/FleetTypes.h
+++ b/coordination/marjorambend/src/Fleet/FleetTypes.h
@@ -43,7 +43,6 @@
   uint32_t MaxAttempts_ = 1;      ///< Failed runs of one task before it fails.
   double StretchFactor_ = 1.0;    ///< Latency objective in ideal run times...
   Milliseconds TargetLatency_{0}; ///< ...plus this.
-  Milliseconds Timeout_{0};       ///< Longest time for an answer; 0: none.
   bool NeedsAdvice_ = false;      ///< Workers need an external approval.
 };
 
--- a/coordination/marjorambend/src/Fleet/HolderLists.cpp
+++ b/coordination/marjorambend/src/Fleet/HolderLists.cpp
@@ -21,8 +21,10 @@
     Run.ProgressAt_ = T.Now_;
     return;
   }
-  const Milliseconds Bound{std::max(T.State_.Options_.Holder_.HangFloor_.Count_,
-                                    Run.Estimate_.Count_ / 4)};
+  const HolderOptions &Options = T.State_.Options_.Holder_;
+  const auto Share = static_cast<int64_t>(
+      static_cast<double>(Run.Estimate_.Count_) * Options.HangShare_);
+  const Milliseconds Bound{std::max(Options.HangFloor_.Count_, Share)};
   if (Run.Phase_ != RunPhase::Running || T.Now_ - Run.ProgressAt_ < Bound)
     return;
   increment(T.State_.Counters_, Counter::RunsHung);
--- a/coordination/marjorambend/src/Support/Counters.cpp
+++ b/coordination/marjorambend/src/Support/Counters.cpp
@@ -20,6 +20,14 @@
   return internal::CounterTexts[static_cast<std::size_t>(Which)].Name_;
 }
 
+std::string renderGauge(std::string_view Name, uint64_t Value) {
+  const std::string Whole = "marjorambend_" + std::string(Name);
+  std::string Text = "# TYPE ";
+  Text.append(Whole).append(" gauge\n").append(Whole).append(" ");
+  Text.append(std::to_string(Value)).append("\n");
+  return Text;
+}
+
 std::string renderCounters(const Counters &All) {
   std::string Text;
   for (std::size_t Index = 0; Index < CounterCount; ++Index) {
--- a/coordination/marjorambend/src/Support/Counters.h
+++ b/coordination/marjorambend/src/Support/Counters.h
@@ -39,6 +39,11 @@
 /// \brief Exported name, without the product's prefix.
 std::string_view counterName(Counter Which);
 
+/// \brief One value of the moment in the usual text form for scraping.
+///
+/// \param Name without the product's prefix.
+std::string renderGauge(std::string_view Name, uint64_t Value);
+
 /// \brief All counters in the usual text form for scraping.
 std::string renderCounters(const Counters &All);
 
--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -259,17 +259,13 @@
 }
 
 std::string Daemon::metrics() const {
-  const auto Gauge = [](const std::string &Name, std::size_t Value) {
-    return "# TYPE marjorambend_" + Name + " gauge\nmarjorambend_" + Name +
-           ' ' + std::to_string(Value) + '\n';
-  };
   return renderCounters(State_.Counters_) +
-         Gauge("jobs_remembered", State_.Jobs_.size()) +
-         Gauge("tasks_queued", State_.Admission_.QueuedTasks_) +
-         Gauge("tasks_under_way", State_.Sends_.size()) +
-         Gauge("peers_linked", State_.Peers_.Peers_.size()) +
-         Gauge("catalogue_version", State_.Config_.Version_) +
-         Gauge("ready", isReady(State_) ? 1 : 0);
+         renderGauge("jobs_remembered", State_.Jobs_.size()) +
+         renderGauge("tasks_queued", State_.Admission_.QueuedTasks_) +
+         renderGauge("tasks_under_way", State_.Sends_.size()) +
+         renderGauge("peers_linked", State_.Peers_.Peers_.size()) +
+         renderGauge("catalogue_version", State_.Config_.Version_) +
+         renderGauge("ready", isReady(State_) ? 1 : 0);
 }
 
 std::optional<HttpReply> Daemon::onOperator(HttpRequest &&Request) {
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -241,8 +241,9 @@
                     {"outcome", IsMalformed ? "malformed" : "not_supported"}}});
     if (IsMalformed)
       return jsonReply(400, R"({"error":"the body is no job"})");
-    return encodeAnswer({.Outcome_ = JobOutcome::NotSupported,
-                         .RetryAfter_ = Milliseconds{5'000}});
+    return encodeAnswer(
+        {.Outcome_ = JobOutcome::NotSupported,
+         .RetryAfter_ = State_.Options_.Placer_.MostRetryAfter_});
   }
   Job->Token_ = Request.Token_;
   Job->Id_ = Id;
@@ -260,16 +261,12 @@
 }
 
 HttpReply FleetDaemon::onMetrics() const {
-  const auto Gauge = [](const std::string &Name, uint64_t Value) {
-    return "# TYPE marjorambend_" + Name + " gauge\nmarjorambend_" + Name +
-           ' ' + std::to_string(Value) + '\n';
-  };
   return {.Status_ = 200,
           .Headers_ = {{"Content-Type", "text/plain; version=0.0.4"}},
           .Body_ = renderMetrics(State_) +
-                   Gauge("store_calls", Store_.calls()) +
-                   Gauge("log_lines_dropped", Log_.dropped()) +
-                   Gauge("log_lines_sampled_out", Log_.sampledOut())};
+                   renderGauge("store_calls", Store_.calls()) +
+                   renderGauge("log_lines_dropped", Log_.dropped()) +
+                   renderGauge("log_lines_sampled_out", Log_.sampledOut())};
 }
 
 void FleetDaemon::stop() {
