A job whose starts were all rejected for certain is answered as not run

Cause: the origin took a job for started once an order was out, though each was rejected by the holder or the worker without doing anything; its caller got 504 (may have run) and could not send it again. Ruled out: starts without an answer and attempts that were superseded; both still count as runs (test).

--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -288,13 +288,13 @@
   const OriginJob &Job = State.Jobs_.at(Found->second);
   if (Job.IsAnswered_)
     return JobState::Unknown;
-  return Job.HasStarted_ ? JobState::Active : JobState::Queued;
+  return mayHaveRun(Job) ? JobState::Active : JobState::Queued;
 }
 
 std::size_t pendingJobs(const FleetInstance &State, std::string_view Name) {
   std::size_t Count = 0;
   for (const auto &[Number, Job] : State.Jobs_) {
-    if (Job.Route_.Name_ == Name && !Job.HasStarted_ && !Job.IsAnswered_)
+    if (Job.Route_.Name_ == Name && !mayHaveRun(Job) && !Job.IsAnswered_)
       ++Count;
   }
   return Count;
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -6,7 +6,20 @@
 #include <algorithm>
 #include <utility>
 
-namespace marjorambend::internal {
+namespace marjorambend {
+
+bool hasRuns(const OriginJob &Job) {
+  return std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
+                     [](const OriginTask &Task) {
+                       return Task.Phase_ == OriginTaskPhase::Ordered;
+                     });
+}
+
+bool mayHaveRun(const OriginJob &Job) {
+  return Job.HasEndedRuns_ || hasRuns(Job);
+}
+
+namespace internal {
 
 // A worker refuses an attempt that is not above those it has ended. Another
 // origin may have made a few before the caller came here.
@@ -51,13 +64,6 @@
   State.Jobs_.erase(Job.Number_);
 }
 
-bool hasRuns(const OriginJob &Job) {
-  return std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
-                     [](const OriginTask &Task) {
-                       return Task.Phase_ == OriginTaskPhase::Ordered;
-                     });
-}
-
 // Drops what waits and stops what runs; the job stays until all has ended.
 static void closeJob(FleetTurn &T, OriginJob &Job) {
   bool HasWaiting = false;
@@ -81,7 +87,7 @@
 void giveUpJob(FleetTurn &T, OriginJob &Job, std::string_view Why,
                Milliseconds RetryAfter) {
   const JobOutcome Outcome =
-      Job.HasStarted_ ? JobOutcome::MayHaveRun : JobOutcome::NotRun;
+      mayHaveRun(Job) ? JobOutcome::MayHaveRun : JobOutcome::NotRun;
   answerJob(T, Job, Outcome, Why, RetryAfter);
   closeJob(T, Job);
 }
@@ -243,7 +249,6 @@
   Task.Holder_ = Place.Holder_;
   Task.Placer_ = Placer;
   ++Task.Attempt_;
-  Job.HasStarted_ = true;
   observe(T.State_.Times_.Placing_, T.Now_ - Job.ArrivedAt_);
   log(T, "placed", Job.Submission_.Id_,
       {{"task", std::to_string(Place.Task_)},
@@ -332,6 +337,8 @@
   if (isReachable(T.State_, Task.Placer_))
     tell(T, Task.Placer_, PlaceRelease{Job->Number_, Index, Ended.End_});
   Task.Phase_ = OriginTaskPhase::Dropped;
+  // A start that was rejected for certain has not run.
+  Job->HasEndedRuns_ = Job->HasEndedRuns_ || Ended.End_ != RunEnd::NotStarted;
   if (Job->IsAnswered_) {
     if (!hasRuns(*Job))
       forgetJob(T, *Job);
@@ -368,6 +375,7 @@
       if (Task.Phase_ != OriginTaskPhase::Ordered || Task.Holder_ != Run)
         continue;
       Task.Phase_ = OriginTaskPhase::Dropped;
+      Job.HasEndedRuns_ = true;
       IsHit = true;
       if (isReachable(T.State_, Task.Placer_))
         tell(T, Task.Placer_, PlaceRelease{Number, Index, RunEnd::Lost});
@@ -395,4 +403,5 @@
               T.State_.Options_.Placer_.LeastRetryAfter_);
 }
 
-} // namespace marjorambend::internal
+} // namespace internal
+} // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/OriginJob.h
+++ b/coordination/marjorambend/src/Fleet/OriginJob.h
@@ -35,14 +35,20 @@
   std::vector<uint64_t> Tokens_; ///< Requests that wait for the answer.
   std::vector<OriginTask> Tasks_;
   uint32_t DoneTasks_ = 0;
-  bool HasStarted_ = false; ///< A task may have run.
-  bool IsAnswered_ = false; ///< What is left is to see its runs end.
-  Incarnation Placer_;      ///< Where its waiting tasks wait.
+  bool HasEndedRuns_ = false; ///< A run that is over may have begun.
+  bool IsAnswered_ = false;   ///< What is left is to see its runs end.
+  Incarnation Placer_;        ///< Where its waiting tasks wait.
   Milliseconds ArrivedAt_;
   Milliseconds ObjectiveAt_; ///< Answers after this count as late.
   Milliseconds GiveUpAt_;    ///< The caller or the route waits no longer.
 };
 
+/// \brief Whether a task of the job runs or may run.
+bool hasRuns(const OriginJob &Job);
+
+/// \brief Whether a task of the job runs, or may have run.
+bool mayHaveRun(const OriginJob &Job);
+
 } // namespace marjorambend
 
 #endif // MARJORAMBEND_FLEET_ORIGINJOB_H
--- a/coordination/marjorambend/src/Fleet/OriginStep.h
+++ b/coordination/marjorambend/src/Fleet/OriginStep.h
@@ -11,9 +11,6 @@
 /// \brief Removes a job of which nothing runs.
 void forgetJob(FleetTurn &T, const OriginJob &Job);
 
-/// \brief Whether a task of it may run.
-bool hasRuns(const OriginJob &Job);
-
 /// \brief Answers that the job was not run, or may have run; stops its runs.
 void giveUpJob(FleetTurn &T, OriginJob &Job, std::string_view Why,
                Milliseconds RetryAfter);
--- a/coordination/test/Fleet/OriginTests.cpp
+++ b/coordination/test/Fleet/OriginTests.cpp
@@ -62,6 +62,22 @@
   CHECK(Answers[0].Outcome_ == JobOutcome::MayHaveRun);
 }
 
+TEST(AJobAtItsOrigin, GivenUpAfterStartsThatWereAllRejectedIsNotRun) {
+  S_.give(S_.job());
+  S_.startAnswered(OrderResult::NoRoom);
+  const auto Answers = only<AnswerJob>(S_.give(FleetStopForced{}));
+  LONGS_EQUAL(1, Answers.size());
+  CHECK(Answers[0].Outcome_ == JobOutcome::NotRun);
+}
+
+TEST(AJobAtItsOrigin, GivenUpAfterARunThatWasStoppedMayHaveRun) {
+  S_.give(S_.job());
+  S_.startAnswered(OrderResult::Unknown);
+  S_.give(StopAnswered{"w", {7, 0, 1}, OrderResult::Accepted, {}});
+  S_.list({}, {{1, {7, 0, 1}, RunEnd::Stopped}});
+  CHECK(outcomeOf(S_.give(FleetStopForced{})) == JobOutcome::MayHaveRun);
+}
+
 TEST(AJobAtItsOrigin, FailsWhenATaskHasFailedAsOftenAsItsRouteAllows) {
   S_.give(S_.job());
   S_.startAnswered(OrderResult::Accepted);
