--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -37,7 +37,7 @@
 };
 
 /// \brief The counters and times of an instance in the usual text form.
-std::string renderMetrics(const struct FleetInstance &State);
+std::string renderMetrics(const struct FleetInstance &State, Milliseconds Now);
 
 /// \brief Whether a line has an event and fields of LogLines.def.
 bool isKnownLine(const LogDecision &Line);
@@ -68,6 +68,7 @@
   bool IsListFresh_ = false; ///< The last read of the list has succeeded.
   Milliseconds MissingAreKeptUntil_; ///< Workers that the list lacks stay.
   Milliseconds ListHeardAt_;         ///< Of the last news of another reader.
+  Milliseconds ListSeenAt_;          ///< When this instance last read it.
   Milliseconds ConfigHeardAt_;       ///< When a reader last followed the store.
   Milliseconds ConfigSeenAt_;        ///< When this instance last did.
 
--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -27,8 +27,13 @@
   return false;
 }
 
-static std::string typeOf(const std::string &Name) {
-  return "# TYPE marjorambend_" + Name + " histogram\n";
+// Since the newest of two times, of which the instance may have had neither.
+static std::string renderAge(std::string_view Name, Milliseconds One,
+                             Milliseconds Other, Milliseconds Now) {
+  const Milliseconds Newest = std::max(One, Other);
+  const Milliseconds Age =
+      Newest == Milliseconds{} ? Milliseconds{} : Now - Newest;
+  return renderGauge(Name, static_cast<uint64_t>(Age.Count_));
 }
 
 } // namespace internal
@@ -45,7 +50,7 @@
   return false;
 }
 
-std::string renderMetrics(const FleetInstance &State) {
+std::string renderMetrics(const FleetInstance &State, Milliseconds Now) {
   std::string Text = renderCounters(State.Counters_);
   Text += renderGauge("jobs_open", State.Jobs_.size());
   Text += renderGauge("jobs_waiting", State.Placing_.Waiting_.size());
@@ -53,18 +58,22 @@
   Text += renderGauge("workers_viewed", State.Placing_.Workers_.size());
   Text += renderGauge("instances_linked", State.Members_.size());
   Text += renderGauge("configuration_version", State.Config_.Version_);
+  Text += internal::renderAge("list_age_milliseconds", State.ListHeardAt_,
+                              State.ListSeenAt_, Now);
+  Text += internal::renderAge("configuration_age_milliseconds",
+                              State.ConfigHeardAt_, State.ConfigSeenAt_, Now);
   Text += renderGauge("is_placer", State.Placer_ == State.Self_.Run_);
   Text += renderGauge("ready", isReady(State) ? 1 : 0);
-  Text += internal::typeOf("answer_milliseconds");
+  Text += renderHistogramType("answer_milliseconds");
   for (std::size_t Index = 0; Index < JobOutcomeCount; ++Index)
     Text += renderHistogram(State.Times_.Answers_[Index], "answer_milliseconds",
                             std::string("outcome=\"") +
                                 nameOf(static_cast<JobOutcome>(Index)) + '"');
-  Text += internal::typeOf("placing_milliseconds") +
+  Text += renderHistogramType("placing_milliseconds") +
           renderHistogram(State.Times_.Placing_, "placing_milliseconds", "");
-  Text += internal::typeOf("start_milliseconds") +
+  Text += renderHistogramType("start_milliseconds") +
           renderHistogram(State.Times_.Starts_, "start_milliseconds", "");
-  Text += internal::typeOf("run_milliseconds") +
+  Text += renderHistogramType("run_milliseconds") +
           renderHistogram(State.Times_.Runs_, "run_milliseconds", "");
   return Text;
 }
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -68,6 +68,7 @@
   FleetInstance &State = T.State_;
   const std::map<std::string, WorkerReport> Before = State.Listed_;
   takeReports(T, Read);
+  State.ListSeenAt_ = T.Now_;
   if (!isReader(State, T.Now_))
     return;
   ListNews News{.Fingerprint_ = fingerprintOf(State.Listed_),
--- a/coordination/marjorambend/src/Support/Counters.cpp
+++ b/coordination/marjorambend/src/Support/Counters.cpp
@@ -28,6 +28,12 @@
   return Text;
 }
 
+std::string renderBuildInfo(std::string_view Version) {
+  std::string Text = "# TYPE marjorambend_build_info gauge\n"
+                     "marjorambend_build_info{version=\"";
+  return Text.append(Version).append("\"} 1\n");
+}
+
 std::string renderCounters(const Counters &All) {
   std::string Text;
   for (std::size_t Index = 0; Index < CounterCount; ++Index) {
--- a/coordination/marjorambend/src/Support/Counters.h
+++ b/coordination/marjorambend/src/Support/Counters.h
@@ -44,6 +44,9 @@
 /// \param Name without the product's prefix.
 std::string renderGauge(std::string_view Name, uint64_t Value);
 
+/// \brief A value of 1 whose labels say which build runs.
+std::string renderBuildInfo(std::string_view Version);
+
 /// \brief All counters in the usual text form for scraping.
 std::string renderCounters(const Counters &All);
 
--- a/coordination/marjorambend/src/Support/Histogram.cpp
+++ b/coordination/marjorambend/src/Support/Histogram.cpp
@@ -12,6 +12,10 @@
   ++Into.Count_;
 }
 
+std::string renderHistogramType(std::string_view Name) {
+  return "# TYPE marjorambend_" + std::string(Name) + " histogram\n";
+}
+
 std::string renderHistogram(const Histogram &From, std::string_view Name,
                             std::string_view Labels) {
   const std::string Whole = "marjorambend_" + std::string(Name);
--- a/coordination/marjorambend/src/Support/Histogram.h
+++ b/coordination/marjorambend/src/Support/Histogram.h
@@ -27,6 +27,9 @@
 /// \brief Counts one duration.
 void observe(Histogram &Into, Milliseconds Time);
 
+/// \brief The line that comes before all histograms of a name.
+std::string renderHistogramType(std::string_view Name);
+
 /// \brief The usual text form for scraping.
 ///
 /// \param Name without the product's prefix.
--- a/ctl/Commands.cpp
+++ b/ctl/Commands.cpp
@@ -308,11 +308,15 @@
          << '\n';
   Text << "  " << std::left << std::setw(42) << "explain JOB [FILE...]"
        << "tells a job's story and its cause from logs\n";
+  Text << "  " << std::left << std::setw(42) << "top IP:PORT..."
+       << "shows instances by their metrics addresses\n";
   Text
       << "\n"
          "  --instance=IP:PORT  operators' listener of any instance; also\n"
          "                      MARJORAMBENDCTL_INSTANCE (127.0.0.1:8081)\n"
          "  --expect=N          with apply: the version that you edited\n"
+         "  --interval_ms=N     with top: time between its two readings "
+         "(1000)\n"
          "  --wait_ms=N         how long apply and wait-ready wait (9000)\n"
          "  --json              print JSON for scripts\n\n"
          "The operators' secret is taken from MARJORAMBEND_OPERATOR_SECRET.\n\n"
--- a/ctl/OperatorClient.cpp
+++ b/ctl/OperatorClient.cpp
@@ -1,9 +1,24 @@
 #include "OperatorClient.h"
 
+#include <charconv>
+
 namespace marjorambend {
 
 static constexpr Milliseconds CallTimeout{12'000};
 
+std::optional<Endpoint> parseEndpoint(const std::string &Text) {
+  const std::size_t Colon = Text.find(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  uint16_t Port = 0;
+  const char *Begin = Text.data() + Colon + 1;
+  const char *End = Text.data() + Text.size();
+  const auto [Last, Error] = std::from_chars(Begin, End, Port);
+  if (Error != std::errc{} || Last != End || Port == 0)
+    return std::nullopt;
+  return Endpoint{Text.substr(0, Colon), Port};
+}
+
 OperatorClient::OperatorClient(EventLoop &Loop, std::string Secret)
     : Loop_(Loop), Client_(Loop), Secret_(std::move(Secret)) {}
 
--- a/ctl/OperatorClient.h
+++ b/ctl/OperatorClient.h
@@ -3,11 +3,15 @@
 
 #include <marjorambend/Transport>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
 namespace marjorambend {
 
+/// \brief Reads IP:PORT; nothing if it is something else.
+std::optional<Endpoint> parseEndpoint(const std::string &Text);
+
 /// \brief Why an operator's call has no usable answer.
 struct OperatorFailure {
   bool IsUnreachable_ = false;
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -3,8 +3,8 @@
 
 #include "Commands.h"
 #include "Explain.h"
+#include "Top.h"
 
-#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <gflags/gflags.h>
@@ -15,22 +15,10 @@
 DEFINE_bool(json, false, "print JSON for scripts");
 DEFINE_int64(expect, -1, "with apply: the version that was edited");
 DEFINE_int64(wait_ms, 9000, "how long apply and wait-ready wait");
+DEFINE_int64(interval_ms, 1000, "with top: time between its two readings");
 
 using namespace marjorambend;
 
-static std::optional<Endpoint> parseEndpoint(const std::string &Text) {
-  const std::size_t Colon = Text.find(':');
-  if (Colon == std::string::npos)
-    return std::nullopt;
-  uint16_t Port = 0;
-  const char *Begin = Text.data() + Colon + 1;
-  const char *End = Text.data() + Text.size();
-  const auto [Last, Error] = std::from_chars(Begin, End, Port);
-  if (Error != std::errc{} || Last != End || Port == 0)
-    return std::nullopt;
-  return Endpoint{Text.substr(0, Colon), Port};
-}
-
 int main(int Count, char **Arguments) {
   signal(SIGPIPE, SIG_IGN);
   for (int Index = 1; Index < Count; ++Index) {
@@ -52,6 +40,9 @@
   const char *Secret = std::getenv("MARJORAMBEND_OPERATOR_SECRET");
   EventLoop Loop;
   OperatorClient Client(Loop, Secret == nullptr ? "" : Secret);
+  if (Count > 1 && std::string_view(Arguments[1]) == "top")
+    return runTop(Client, {Arguments + 1, Arguments + Count},
+                  {FLAGS_interval_ms}, FLAGS_json);
   const CommandContext Context{.Client_ = Client,
                                .Instance_ = *Instance,
                                .IsJson_ = FLAGS_json,
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -159,7 +159,8 @@
     if (auto Opened = Metrics_->listen(); !Opened)
       return Opened;
   }
-  logLine("started", {{"data_centre", Settings_.DataCentre_},
+  logLine("started", {{"version", MARJORAMBEND_VERSION},
+                      {"data_centre", Settings_.DataCentre_},
                       {"run", formatHex(State_.Self_.Run_.Value_)},
                       {"cpu_m", std::to_string(Settings_.CpuShare_)},
                       {"lease_ms",
@@ -263,10 +264,14 @@
 HttpReply FleetDaemon::onMetrics() const {
   return {.Status_ = 200,
           .Headers_ = {{"Content-Type", "text/plain; version=0.0.4"}},
-          .Body_ = renderMetrics(State_) +
-                   renderGauge("store_calls", Store_.calls()) +
-                   renderGauge("log_lines_dropped", Log_.dropped()) +
-                   renderGauge("log_lines_sampled_out", Log_.sampledOut())};
+          .Body_ =
+              renderBuildInfo(MARJORAMBEND_VERSION) +
+              renderMetrics(State_, monotonicNow()) +
+              renderGauge("store_calls", Store_.calls()) +
+              renderCallTimes(Store_.times(), "store_call_milliseconds") +
+              renderCallTimes(Workers_.times(), "worker_call_milliseconds") +
+              renderGauge("log_lines_dropped", Log_.dropped()) +
+              renderGauge("log_lines_sampled_out", Log_.sampledOut())};
 }
 
 void FleetDaemon::stop() {
--- /dev/null
+++ b/transport/marjorambend/src/Transport/CallTimes.cpp
@@ -0,0 +1,25 @@
+#include "marjorambend/src/Transport/CallTimes.h"
+
+#include <utility>
+
+namespace marjorambend {
+
+HttpClient::Handler timed(CallTimes &Into, std::string_view Call,
+                          HttpClient::Handler OnResult) {
+  return [&Into, Labels = "call=\"" + std::string(Call) + "\",answered=\"",
+          Since = monotonicNow(),
+          OnResult = std::move(OnResult)](HttpResult Result) {
+    Histogram &Times = Into.ByLabels_[Labels + (Result ? "true\"" : "false\"")];
+    observe(Times, monotonicNow() - Since);
+    OnResult(std::move(Result));
+  };
+}
+
+std::string renderCallTimes(const CallTimes &Times, std::string_view Name) {
+  std::string Text = renderHistogramType(Name);
+  for (const auto &[Labels, One] : Times.ByLabels_)
+    Text += renderHistogram(One, Name, Labels);
+  return Text;
+}
+
+} // namespace marjorambend
