Order a start without an answer once more; give up looks after 180 ms

Cause: a lost answer of a look hid the ends of all runs of a worker for up to 500 ms, 41% of the time at one loss in ten; a lost answer of a start cost 250 ms, a stop and a look. A worker starts a run only once, so that the same order may be sent again. Tests: two stories of a held worker, both failed before; the session no-answer shows the second order.

--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -20,9 +20,10 @@
   /// How much slower than ours a worker's clock may run, in percent; from the
   /// platform's protocol.
   int64_t ClockSlackPercent_ = 2;
-  /// Longest wait of a look while something runs; several renewals fit into
-  /// one lease.
-  Milliseconds BusyWait_{250};
+  /// Longest wait of a look while something runs. When its answer is lost, ends
+  /// of runs stay unseen for this time and the call's time-out: together 180
+  /// ms, about the run time of the users' shorter jobs.
+  Milliseconds BusyWait_{120};
   /// Longest wait of a look at an idle worker. A run that starts meanwhile is
   /// renewed after it, within its first lease.
   Milliseconds IdleWait_{500};
@@ -31,8 +32,10 @@
   /// Pause between two looks at a worker whose former runs are being stopped;
   /// a stop takes up to 50 ms.
   Milliseconds ClaimPause_{20};
-  /// Failed looks in a row after which a worker is suspected.
-  uint32_t SuspectAfter_ = 2;
+  /// Failed looks in a row after which a worker is suspected. Of answers a
+  /// tenth may be lost for seconds; two losses in a row are common then, three
+  /// not.
+  uint32_t SuspectAfter_ = 3;
   /// Age of an order without an answer from which it is not carried out any
   /// more; the users' workers carry out late orders after 2 to 12 seconds.
   Milliseconds LateOrderBound_{13'000};
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -207,6 +207,7 @@
                                             .Origin_ = Origin,
                                             .Needs_ = Order.Needs_,
                                             .Estimate_ = Order.Estimate_,
+                                            .Spec_ = Order.Spec_,
                                             .OrderedAt_ = T.Now_,
                                             .ProgressAt_ = T.Now_})
            .second) {
@@ -270,12 +271,49 @@
   Run.SettledBy_ = Hold.NextLook_;
 }
 
+// Load pattern: a share of the orders gets no answer and is carried out seconds
+// later. The same order passes once more, since a worker starts a run only
+// once; without it the task would wait for a stop and a look.
+static void repeatStart(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
+                        HeldRun &Run) {
+  Run.IsRepeated_ = true;
+  Hold.LeaseSentAt_ = T.Now_;
+  T.Out_.push_back(StartRun{.Worker_ = targetOf(Hold),
+                            .Run_ = Id,
+                            .Spec_ = Run.Spec_,
+                            .LeaseEnd_ = leaseEnd(T, Hold)});
+}
+
+// The first order may still be carried out, or has been.
+static bool applyRepeatedStart(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
+                               HeldRun &Run, OrderResult Result) {
+  switch (Result) {
+  case OrderResult::Superseded:
+    // It has run; the lists tell how it ended.
+    settleRun(Hold, Run);
+    lookSoon(T, Hold);
+    return true;
+  case OrderResult::Invalid:
+  case OrderResult::Unhealthy:
+  case OrderResult::NotDelivered:
+  case OrderResult::Late:
+  case OrderResult::NoRoom:
+    sendStop(T, Hold, Id, Run);
+    return true;
+  default:
+    return false;
+  }
+}
+
 static void applyStart(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
                        HeldRun &Run, OrderResult Result) {
+  if (Run.IsRepeated_ && applyRepeatedStart(T, Hold, Id, Run, Result))
+    return;
   switch (Result) {
   case OrderResult::Accepted:
     Run.StartedAt_ = T.Now_;
-    Run.IsStartOpen_ = false;
+    Run.IsStartOpen_ = Run.IsRepeated_;
+    Run.Spec_.clear();
     observe(T.State_.Times_.Starts_, T.Now_ - Run.OrderedAt_);
     settleRun(Hold, Run);
     if (Run.Phase_ == RunPhase::Starting)
@@ -298,7 +336,11 @@
     return;
   case OrderResult::Unknown:
     // It may start at any time until its lease is over; a stop forbids it.
-    sendStop(T, Hold, Id, Run);
+    if (!Run.IsRepeated_ && Run.Phase_ == RunPhase::Starting &&
+        Hold.Phase_ == HoldPhase::Open && isRenewable(T, Hold))
+      repeatStart(T, Hold, Id, Run);
+    else
+      sendStop(T, Hold, Id, Run);
     return;
   case OrderResult::Fenced:
     loseToFence(T, Hold);
--- a/coordination/marjorambend/src/Fleet/HolderLists.cpp
+++ b/coordination/marjorambend/src/Fleet/HolderLists.cpp
@@ -12,7 +12,7 @@
 // its origin starts it elsewhere.
 static void noteProgress(FleetTurn &T, WorkerHold &Hold,
                          const ListedRun &Listed, HeldRun &Run) {
-  Run.IsStartOpen_ = false;
+  Run.IsStartOpen_ = Run.IsRepeated_;
   if (Run.Phase_ == RunPhase::Starting) {
     Run.Phase_ = RunPhase::Running;
     Run.StartedAt_ = Run.OrderedAt_;
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -22,6 +22,7 @@
   Incarnation Origin_;
   Room Needs_;
   Milliseconds Estimate_;
+  std::string Spec_; ///< For a second order; empty once it has begun.
   RunPhase Phase_ = RunPhase::Starting;
   Milliseconds OrderedAt_;
   Milliseconds StartedAt_;
@@ -29,9 +30,10 @@
   Milliseconds ProgressAt_;
   Milliseconds NextStop_;   ///< When the stop is sent again.
   bool IsStopSent_ = false; ///< A stop is under way.
-  /// The worker has not said that the run has begun; while the order may still
-  /// arrive, no other life of the worker may take it.
+  /// An order to start was not answered; while it may still arrive, no other
+  /// life of the worker may take it.
   bool IsStartOpen_ = true;
+  bool IsRepeated_ = false; ///< The order was sent a second time.
   /// First look that was sent after the worker's last word on the run; 0 while
   /// there is none. A run that this look does not list is gone.
   uint64_t SettledBy_ = 0;
--- a/coordination/test/Fleet/OriginTests.cpp
+++ b/coordination/test/Fleet/OriginTests.cpp
@@ -73,6 +73,7 @@
 TEST(AJobAtItsOrigin, GivenUpAfterARunThatWasStoppedMayHaveRun) {
   S_.give(S_.job());
   S_.startAnswered(OrderResult::Unknown);
+  S_.startAnswered(OrderResult::Unknown);
   S_.give(StopAnswered{"w", {7, 0, 1}, OrderResult::Accepted, {}});
   S_.list({}, {{1, {7, 0, 1}, RunEnd::Stopped}});
   CHECK(outcomeOf(S_.give(FleetStopForced{})) == JobOutcome::MayHaveRun);
--- a/coordination/test/Golden/FleetSessions.cpp
+++ b/coordination/test/Golden/FleetSessions.cpp
@@ -80,6 +80,7 @@
 TEST(SessionsOfTheFleet, AStartHasNoAnswer) {
   happen("a job arrives", S_.give(S_.job()));
   happen("its start has no answer", S_.startAnswered(OrderResult::Unknown));
+  happen("the same order has none", S_.startAnswered(OrderResult::Unknown));
   happen("the stop is confirmed",
          S_.give(StopAnswered{
              "w", {7, 0, 1}, OrderResult::Accepted, std::nullopt}));
