Come back soon when no worker is open

Lost holders are replaced within half a second. Ruled out: the least time of 200 ms, in which most would come back in vain.

--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -80,6 +80,9 @@
   /// Least and greatest come-back time of a refusal.
   Milliseconds LeastRetryAfter_{200};
   Milliseconds MostRetryAfter_{5'000};
+  /// The same while no worker is open; lost holders are replaced within half a
+  /// second, and a worker is open some 50 ms after its claim.
+  Milliseconds NoWorkersRetryAfter_{800};
 };
 
 /// \brief Parameters of one instance of the fleet.
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -224,7 +224,7 @@
   const PlacerOptions &Options = T.State_.Options_.Placer_;
   const PlacerState &Placing = T.State_.Placing_;
   double Work = 0; // milli-core milliseconds
-  double Cores = 1;
+  double Cores = 0;
   for (const auto &[Key, Job] : Placing.Jobs_)
     Work += static_cast<double>(Job.Request_.Tasks_.size()) *
             static_cast<double>(Job.Request_.Needs_.MilliCores_) *
@@ -235,7 +235,10 @@
   }
   // Spread, so that those refused together do not return together.
   const double Spread = 1.0 + uniformUnit(T.State_.Generator_);
-  const auto Wait = static_cast<int64_t>(Work / Cores * Spread);
+  const double Backlog =
+      Cores > 0 ? Work / Cores
+                : static_cast<double>(Options.NoWorkersRetryAfter_.Count_);
+  const auto Wait = static_cast<int64_t>(Backlog * Spread);
   return {std::clamp(Wait, Options.LeastRetryAfter_.Count_,
                      Options.MostRetryAfter_.Count_)};
 }
--- a/coordination/test/Fleet/OriginTests.cpp
+++ b/coordination/test/Fleet/OriginTests.cpp
@@ -53,6 +53,17 @@
   CHECK(Answers[0].RetryAfter_.Count_ > 0);
 }
 
+// With no open worker the backlog says nothing; workers come back soon.
+TEST(AJobAtItsOrigin, MayComeBackSoonWhenNoWorkerIsOpen) {
+  WorkerReport Draining = Story::worker();
+  Draining.IsDraining_ = true;
+  S_.give(WorkersRead{{Draining}});
+  S_.give(S_.job());
+  const auto Answers = only<AnswerJob>(S_.pass(2'100));
+  LONGS_EQUAL(1, Answers.size());
+  CHECK(Answers[0].RetryAfter_ <= Milliseconds{2'000});
+}
+
 TEST(AJobAtItsOrigin, GivenUpAfterAStartMayHaveRun) {
   S_.give(S_.job());
   S_.startAnswered(OrderResult::Accepted);
