Name the lost holder and count the open workers where a job is refused; bench of the log's cost

Two lines fell short: place_refused did not say that no worker was open, and the answer of a job whose holder was lost did not name it. Ruled out: a field in every answer; a line of its own names the holder and how many tasks went with it.

--- a/bench/coordination_bench.cpp
+++ b/bench/coordination_bench.cpp
@@ -4,6 +4,7 @@
 #include "Fixtures.h"
 
 #include <benchmark/benchmark.h>
+#include <fcntl.h>
 #include <marjorambend/Admission>
 #include <marjorambend/Claims>
 #include <marjorambend/Configuration>
@@ -12,6 +13,8 @@
 #include <marjorambend/Jobs>
 #include <marjorambend/Membership>
 #include <marjorambend/Routing>
+#include <marjorambend/Transport>
+#include <unistd.h>
 
 using namespace marjorambend;
 using namespace marjorambend::bench;
@@ -129,6 +132,7 @@
   FleetInstance State_ = makeFleetInstance({.DataCentre_ = "dc"}, 1);
   Milliseconds Now_{1'000};
   std::map<std::string, uint64_t> Looks_;
+  DecisionLog *Log_ = nullptr; ///< Where decisions are written, if anywhere.
 
   explicit FleetFixture(int Workers) {
     give(FleetTick{{1'700'000'000'000}});
@@ -160,6 +164,9 @@
         Looks_[Look->Worker_.Id_] = Look->Look_;
       if (const auto *Start = std::get_if<StartRun>(&One))
         Starts.push_back(*Start);
+      const auto *Line = std::get_if<LogDecision>(&One);
+      if (Line != nullptr && Log_ != nullptr)
+        Log_->write(*Line);
     }
     return Starts;
   }
@@ -175,8 +182,7 @@
 
 // A job of four tasks from its arrival to its answer; the figure is for all
 // four, without sockets.
-static void fleetJob(benchmark::State &Round) {
-  FleetFixture Fleet(static_cast<int>(Round.range(0)));
+static void playJobs(benchmark::State &Round, FleetFixture &Fleet) {
   std::map<std::string, uint64_t> Ends;
   uint64_t Id = 1;
   for (auto _ : Round) {
@@ -197,6 +203,25 @@
     }
   }
 }
+static void fleetJob(benchmark::State &Round) {
+  FleetFixture Fleet(static_cast<int>(Round.range(0)));
+  playJobs(Round, Fleet);
+}
 BENCHMARK(fleetJob)->Arg(9)->Arg(48)->Arg(350);
 
+// The same with every line written, none sampled out; what does not fit into
+// the buffer is formatted and then dropped.
+static void fleetJobLogged(benchmark::State &Round) {
+  FleetFixture Fleet(static_cast<int>(Round.range(0)));
+  EventLoop Loop;
+  const int Nowhere = open("/dev/null", O_WRONLY | O_CLOEXEC);
+  DecisionLog Log(Loop, {.Descriptor_ = Nowhere,
+                         .Instance_ = "instance",
+                         .BytesPerSecond_ = SIZE_MAX});
+  Fleet.Log_ = &Log;
+  playJobs(Round, Fleet);
+  close(Nowhere);
+}
+BENCHMARK(fleetJobLogged)->Arg(9)->Arg(48)->Arg(350);
+
 BENCHMARK_MAIN();
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -185,10 +185,11 @@
        {"silent_ms", text(T.Now_ - Found->second.HeardAt_)}});
   Milliseconds &Heard = State.CentreHeardAt_[Found->second.Info_.DataCentre_];
   Heard = std::max(Heard, Found->second.HeardAt_);
+  const std::string Name = Found->second.Info_.Name_;
   State.Members_.erase(Found);
   forgetInstance(T, Run);
   stopRunsOf(T, Run);
-  loseHolder(T, Run);
+  loseHolder(T, Run, Name);
   choosePlacer(T);
   chooseHolds(T);
 }
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -27,7 +27,7 @@
 void takeRefusal(FleetTurn &T, const PlaceRefused &Refused);
 void takeRunEnd(FleetTurn &T, const RunEnded &Ended);
 void expireJobs(FleetTurn &T);
-void loseHolder(FleetTurn &T, Incarnation Run);
+void loseHolder(FleetTurn &T, Incarnation Run, std::string_view Name);
 void choosePlacer(FleetTurn &T);
 void giveUpAllJobs(FleetTurn &T, std::string_view Why);
 /// @}
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -366,22 +366,25 @@
 
 // The holder stops what it runs for us as it loses us too; until then a task
 // may still run, so that the job is not started again here.
-void loseHolder(FleetTurn &T, Incarnation Run) {
+void loseHolder(FleetTurn &T, Incarnation Run, std::string_view Name) {
   std::vector<uint64_t> Hit;
   for (auto &[Number, Job] : T.State_.Jobs_) {
-    bool IsHit = false;
+    uint32_t LostTasks = 0;
     for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
       OriginTask &Task = Job.Tasks_[Index];
       if (Task.Phase_ != OriginTaskPhase::Ordered || Task.Holder_ != Run)
         continue;
       Task.Phase_ = OriginTaskPhase::Dropped;
       Job.HasEndedRuns_ = true;
-      IsHit = true;
+      ++LostTasks;
       if (isReachable(T.State_, Task.Placer_))
         tell(T, Task.Placer_, PlaceRelease{Number, Index, RunEnd::Lost});
     }
-    if (IsHit)
-      Hit.push_back(Number);
+    if (LostTasks == 0)
+      continue;
+    log(T, "holder_lost", Job.Submission_.Id_,
+        {{"other", std::string(Name)}, {"tasks", std::to_string(LostTasks)}});
+    Hit.push_back(Number);
   }
   for (const uint64_t Number : Hit) {
     OriginJob &Job = T.State_.Jobs_.at(Number);
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -249,6 +249,7 @@
       {{"why", std::string(Why)},
        {"waited_ms", text(T.Now_ - Job.ArrivedAt_)},
        {"waiting_jobs", std::to_string(T.State_.Placing_.Waiting_.size())},
+       {"open_workers", std::to_string(T.State_.Placing_.ByFree_.size())},
        {"retry_after_ms", text(ComeBack)}});
   Job.Request_.Tasks_.clear();
   tell(T, Job.Origin_, PlaceRefused{Job.Request_.Job_, ComeBack});
--- a/ctl/Explain.cpp
+++ b/ctl/Explain.cpp
@@ -70,8 +70,8 @@
   if (Story.Outcome_ == "completed")
     return;
   const std::string Before =
-      lastOf(Story, {"place_refused", "start_rejected", "start_refused",
-                     "run_ended", "run_hung"});
+      lastOf(Story, {"place_refused", "holder_lost", "start_rejected",
+                     "start_refused", "run_ended", "run_hung"});
   if (Story.Outcome_.empty())
     Story.Cause_ = "no answer is in the logs; the instance may have ended";
   if (!Before.empty())
