--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -303,7 +303,48 @@
   chooseHolds(T);
 }
 
-// Workers stay where they are unless their holder is stopping or far away.
+// Workers of a data centre for each of its instances that take any.
+static double meanHolds(const FleetInstance &State) {
+  std::size_t Instances = 1;
+  for (const auto &[Run, Other] : State.Members_) {
+    const bool IsTaking = Other.Info_.DataCentre_ == State.Self_.DataCentre_ &&
+                          Other.Status_.IsReady_ && !Other.Status_.IsStopping_;
+    Instances += IsTaking ? 1 : 0;
+  }
+  const auto Workers = std::count_if(
+      State.Listed_.begin(), State.Listed_.end(), [&State](const auto &Entry) {
+        return Entry.second.DataCentre_ == State.Self_.DataCentre_;
+      });
+  return static_cast<double>(Workers) / static_cast<double>(Instances);
+}
+
+// Load pattern: an instance that was slow or cut off took the workers of all
+// that it did not hear, and is too weak for them ever after.
+static void handOverExcess(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  const HolderOptions &Options = State.Options_.Holder_;
+  const auto Most =
+      static_cast<std::size_t>(meanHolds(State) * Options.MostOfMean_) +
+      Options.FewMore_;
+  if (State.Holds_.size() <= Most)
+    return;
+  std::size_t Closing = 0;
+  for (const auto &[Id, Hold] : State.Holds_)
+    Closing += Hold.IsClosing_ ? 1 : 0;
+  std::size_t Excess = State.Holds_.size() - Most;
+  for (auto &[Id, Hold] : State.Holds_) {
+    if (Closing >= std::min(Options.MostHandedOver_, Excess))
+      return;
+    if (Hold.IsClosing_ || isRightfulHolder(State, Hold.Report_))
+      continue;
+    Hold.IsClosing_ = true;
+    ++Closing;
+    tellIfChanged(T, Hold);
+  }
+}
+
+// Workers stay where they are unless their holder is stopping, far away, or has
+// too many.
 void chooseHolds(FleetTurn &T) {
   FleetInstance &State = T.State_;
   State.NextHoldReview_ = T.Now_ + State.Options_.HoldReview_;
@@ -323,6 +364,7 @@
     Hold.IsClosing_ =
         Hold.IsClosing_ || (IsFar && !isRightfulHolder(State, Hold.Report_));
   }
+  handOverExcess(T);
   for (const auto &[Id, Report] : State.Listed_) {
     if (State.Holds_.contains(Id) || State.HeldByOthers_.contains(Id))
       continue;
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -213,6 +213,42 @@
   CHECK(S_.State_.Holds_.at("w").Runs_.at(Run_).Phase_ == RunPhase::Stopping);
 }
 
+// Load pattern: a slow instance took all workers for itself while it heard
+// nobody, and cannot serve them.
+TEST_GROUP(AnInstanceThatHoldsTooMany) {
+  Story S_;
+  void setup() override {
+    WorkersRead Read;
+    for (int Index = 0; Index < 40; ++Index)
+      Read.Workers_.push_back(Story::worker("w" + std::to_string(Index)));
+    S_.give(Read);
+    S_.pass(700);
+  }
+  std::size_t closing() const {
+    std::size_t Count = 0;
+    for (const auto &[Id, Hold] : S_.State_.Holds_)
+      Count += Hold.IsClosing_ ? 1 : 0;
+    return Count;
+  }
+};
+
+TEST(AnInstanceThatHoldsTooMany, KeepsThemWhileItIsAlone) {
+  S_.pass(2'000);
+  LONGS_EQUAL(40, S_.State_.Holds_.size());
+  LONGS_EQUAL(0, closing());
+}
+
+TEST(AnInstanceThatHoldsTooMany, HandsSomeOverAFewAtATime) {
+  for (uint64_t Other = 2; Other <= 4; ++Other)
+    S_.meet(Other);
+  S_.pass(100);
+  LONGS_EQUAL(S_.State_.Options_.Holder_.MostHandedOver_, closing());
+  S_.pass(5'000);
+  // A fair share is 10.
+  CHECK(S_.State_.Holds_.size() <= 17);
+  CHECK(S_.State_.Holds_.size() >= 10);
+}
+
 TEST_GROUP(AWorkerOfAnotherDataCentre) {
   Story S_;
   void setup() override {
--- a/coordination/test/Fleet/NewsTests.cpp
+++ b/coordination/test/Fleet/NewsTests.cpp
@@ -74,6 +74,14 @@
   LONGS_EQUAL(5, Other_.State_.Config_.Version_);
 }
 
+TEST(TheReaderOfADataCentre, ShowsTheAgeOfItsViews) {
+  Reader_.give(WorkersRead{{Story::worker()}});
+  const std::string Text =
+      renderMetrics(Reader_.State_, Reader_.Now_ + Milliseconds{500});
+  CHECK(Text.find("\nmarjorambend_list_age_milliseconds 500\n") !=
+        std::string::npos);
+}
+
 TEST_GROUP(ThePlatformsList) {
   Story S_;
   void setup() override { S_.prepare(); }
--- a/coordination/test/Simulation/WorldOperators.cpp
+++ b/coordination/test/Simulation/WorldOperators.cpp
@@ -45,9 +45,10 @@
 // It counts again from when an instance reads it in the table service.
 void World::loseDrains(Incarnation Ended) {
   for (const auto &[Worker, Orderer] : DrainedBy_) {
-    const bool IsKnown =
-        std::any_of(Nodes_.begin(), Nodes_.end(),
-                    [&](const Node &Each) { return hasDrain(Each, Worker); });
+    const bool IsKnown = std::any_of(Nodes_.begin(), Nodes_.end(),
+                                     [&Worker = Worker](const Node &Each) {
+                                       return hasDrain(Each, Worker);
+                                     });
     if (Orderer == Ended && !IsKnown)
       DrainedAt_.erase(Worker);
   }
--- a/ctl/Top.cpp
+++ b/ctl/Top.cpp
@@ -138,6 +138,7 @@
     return ExitUsage;
   }
   std::vector<tl::expected<Scrape, OperatorFailure>> Before;
+  Before.reserve(Asked.size());
   const auto ScrapeOf = [&Client](const Endpoint &At) {
     return Client.call(At, "GET", "/metrics").map([](const OperatorAnswer &A) {
       return readScrape(A.Text_);
