Trust a reader's age of the configuration only with its version; histograms by route; failed calls to the store logged

Ruled out: the feed of the configuration (the reader had it), the store. Now list news carries the version; an instance that hears of a newer one reads the store. Test failed before the change.

--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -31,12 +31,15 @@
 struct FleetTimes {
   /// From the arrival of a job to its answer.
   std::array<Histogram, JobOutcomeCount> Answers_;
+  /// The same by the name of the route; only of routes that there are.
+  std::map<std::string, std::array<Histogram, JobOutcomeCount>> ByRoute_;
   Histogram Placing_; ///< From the arrival of a job to a task's worker.
   Histogram Starts_;  ///< From a start order to the worker's answer.
   Histogram Runs_;    ///< Of tasks that are done.
 };
 
-/// \brief The counters and times of an instance in the usual text form.
+/// \brief The counters and times of an instance in the usual text form; ages
+/// are those at \p Now.
 std::string renderMetrics(const struct FleetInstance &State, Milliseconds Now);
 
 /// \brief Whether a line has an event and fields of LogLines.def.
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -110,8 +110,9 @@
 struct ListNews {
   std::vector<WorkerReport> Changed_; ///< New ones too.
   std::vector<std::string> Removed_;
-  uint64_t Fingerprint_ = 0; ///< Of the whole list.
-  Milliseconds ConfigAge_;   ///< Since the reader last followed the store.
+  uint64_t Fingerprint_ = 0;   ///< Of the whole list.
+  Milliseconds ConfigAge_;     ///< Since the reader last followed the store.
+  uint64_t ConfigVersion_ = 0; ///< What the reader has in force.
 };
 
 /// \brief A newer configuration, as the platform's store has it.
--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -27,6 +27,11 @@
   return false;
 }
 
+static std::string outcomeLabel(std::size_t Index) {
+  return std::string("outcome=\"") + nameOf(static_cast<JobOutcome>(Index)) +
+         '"';
+}
+
 // Since the newest of two times, of which the instance may have had neither.
 static std::string renderAge(std::string_view Name, Milliseconds One,
                              Milliseconds Other, Milliseconds Now) {
@@ -67,8 +72,16 @@
   Text += renderHistogramType("answer_milliseconds");
   for (std::size_t Index = 0; Index < JobOutcomeCount; ++Index)
     Text += renderHistogram(State.Times_.Answers_[Index], "answer_milliseconds",
-                            std::string("outcome=\"") +
-                                nameOf(static_cast<JobOutcome>(Index)) + '"');
+                            internal::outcomeLabel(Index));
+  Text += renderHistogramType("route_answer_milliseconds");
+  for (const auto &[Name, Outcomes] : State.Times_.ByRoute_) {
+    const std::string Labels = "route=\"" + Name + "\",";
+    for (std::size_t Index = 0; Index < JobOutcomeCount; ++Index) {
+      if (Outcomes[Index].Count_ > 0)
+        Text += renderHistogram(Outcomes[Index], "route_answer_milliseconds",
+                                Labels + internal::outcomeLabel(Index));
+    }
+  }
   Text += renderHistogramType("placing_milliseconds") +
           renderHistogram(State.Times_.Placing_, "placing_milliseconds", "");
   Text += renderHistogramType("start_milliseconds") +
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -31,6 +31,7 @@
 
 /// \brief Ends runs whose start is too old to be carried out any more.
 void finishOldOrders(FleetTurn &T, WorkerHold &Hold);
+
 /// Takes the worker's clock from any of its answers.
 void noteClock(FleetTurn &T, WorkerHold &Hold,
                std::optional<Milliseconds> Clock);
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -4,6 +4,7 @@
 #include "marjorambend/src/Fleet/FleetStep.h"
 #include "marjorambend/src/Fleet/StableHash.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace marjorambend {
@@ -55,6 +56,11 @@
        {"routes", std::to_string(Read.Config_.Routes_.size())},
        {"from", Read.IsFromStore_ ? "store" : "instance"}});
   Known = std::move(Read.Config_);
+  std::erase_if(State.Times_.ByRoute_, [&Known](const auto &Entry) {
+    return std::none_of(
+        Known.Routes_.begin(), Known.Routes_.end(),
+        [&Entry](const Route &One) { return One.Name_ == Entry.first; });
+  });
   if (Read.IsFromStore_ && isReader(State, T.Now_))
     tellAll(T, ConfigNews{Known.Version_, std::move(Read.Text_)});
 }
@@ -72,7 +78,8 @@
   if (!isReader(State, T.Now_))
     return;
   ListNews News{.Fingerprint_ = fingerprintOf(State.Listed_),
-                .ConfigAge_ = T.Now_ - State.ConfigSeenAt_};
+                .ConfigAge_ = T.Now_ - State.ConfigSeenAt_,
+                .ConfigVersion_ = State.Config_.Version_};
   for (const auto &[Id, Report] : State.Listed_) {
     const auto Known = Before.find(Id);
     if (Known == Before.end() || !(Known->second == Report))
@@ -87,8 +94,13 @@
 
 void takeListNews(FleetTurn &T, const ListNews &News) {
   FleetInstance &State = T.State_;
-  State.ConfigHeardAt_ =
-      std::max(State.ConfigHeardAt_, T.Now_ - News.ConfigAge_);
+  // A configuration that was told before the session with its reader began is
+  // read from the store.
+  if (News.ConfigVersion_ <= State.Config_.Version_)
+    State.ConfigHeardAt_ =
+        std::max(State.ConfigHeardAt_, T.Now_ - News.ConfigAge_);
+  else
+    State.ConfigHeardAt_ = {};
   std::map<std::string, WorkerReport> Listed = State.Listed_;
   for (const WorkerReport &Report : News.Changed_)
     Listed[Report.Id_] = Report;
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -36,14 +36,16 @@
                       std::string_view Why, Milliseconds RetryAfter = {}) {
   Job.IsAnswered_ = true;
   const bool IsServed = Outcome == JobOutcome::Completed;
-  observe(T.State_.Times_.Answers_[static_cast<std::size_t>(Outcome)],
-          T.Now_ - Job.ArrivedAt_);
+  const auto Index = static_cast<std::size_t>(Outcome);
+  const Milliseconds Took = T.Now_ - Job.ArrivedAt_;
+  observe(T.State_.Times_.Answers_[Index], Took);
+  observe(T.State_.Times_.ByRoute_[Job.Route_.Name_][Index], Took);
   log(T, "answer", Job.Submission_.Id_,
       {{"outcome", nameOf(Outcome)},
        {"why", std::string(Why)},
        {"route", Job.Route_.Name_},
        {"config", std::to_string(T.State_.Config_.Version_)},
-       {"took_ms", text(T.Now_ - Job.ArrivedAt_)},
+       {"took_ms", text(Took)},
        {"objective_ms", text(Job.ObjectiveAt_ - Job.ArrivedAt_)},
        {"done", std::to_string(Job.DoneTasks_)},
        {"tasks", std::to_string(Job.Tasks_.size())}},
--- a/coordination/test/Fleet/NewsTests.cpp
+++ b/coordination/test/Fleet/NewsTests.cpp
@@ -68,6 +68,16 @@
   STRCMP_EQUAL("text", Decodes[0].Text_.c_str());
 }
 
+// The other's session began after the configuration had been told.
+TEST(TheReaderOfADataCentre, IsNotTrustedWithAConfigurationThatItHasNotTold) {
+  Reader_.give(ConfigConfirmed{});
+  carry(Reader_.give(WorkersRead{{Story::worker()}}));
+  CHECK_FALSE(shouldFollowConfig(Other_.State_, Other_.Now_));
+  Reader_.give(ConfigRead{.Config_ = {.Version_ = 9}, .IsFromStore_ = true});
+  carry(Reader_.give(WorkersRead{{Story::worker()}}));
+  CHECK(shouldFollowConfig(Other_.State_, Other_.Now_));
+}
+
 TEST(TheReaderOfADataCentre, NeverBringsAnOlderConfiguration) {
   Other_.give(ConfigRead{.Config_ = {.Version_ = 5}});
   Other_.give(ConfigRead{.Config_ = {.Version_ = 4}, .IsFromStore_ = true});
--- a/coordination/test/Fleet/OriginTests.cpp
+++ b/coordination/test/Fleet/OriginTests.cpp
@@ -42,6 +42,17 @@
   expectCount<StopRun>(1, S_.give(JobAbandoned{1}));
 }
 
+TEST(AJobAtItsOrigin, CountsForItsRouteWhileThereIsThatRoute) {
+  const std::string Label =
+      R"(route_answer_milliseconds_count{route="r",outcome="completed"} 1)";
+  S_.give(S_.job());
+  S_.startAnswered(OrderResult::Accepted);
+  S_.list({}, {{1, {7, 0, 1}, RunEnd::Done}});
+  CHECK(renderMetrics(S_.State_, S_.Now_).find(Label) != std::string::npos);
+  S_.give(ConfigRead{.Config_ = {.Version_ = 2}});
+  CHECK(renderMetrics(S_.State_, S_.Now_).find("route=") == std::string::npos);
+}
+
 TEST(AJobAtItsOrigin, GivenUpBeforeAnyStartIsNotRun) {
   WorkerReport Draining = Story::worker();
   Draining.IsDraining_ = true;
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -104,6 +104,11 @@
           .OnMalformed_ =
               [this](std::string_view Key) {
                 logLine("row_unreadable", {{"key", std::string(Key)}});
+              },
+          .OnFailed_ =
+              [this](std::string_view Call, std::string_view Why) {
+                logLine("store_call_failed", {{"call", std::string(Call)},
+                                              {"why", std::string(Why)}});
               }};
 }
 
--- a/transport/marjorambend/src/Transport/FleetCodec.cpp
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -81,7 +81,7 @@
     const auto Removed = B_.CreateVectorOfStrings(M.Removed_);
     return {fleetwire::Body::ListNews,
             fleetwire::CreateListNews(B_, All, Removed, M.Fingerprint_,
-                                      M.ConfigAge_.Count_)
+                                      M.ConfigAge_.Count_, M.ConfigVersion_)
                 .Union()};
   }
   FleetBody operator()(const ConfigNews &M) const {
@@ -252,7 +252,8 @@
 static ListNews toNews(const fleetwire::ListNews &M) {
   ListNews Given{.Removed_ = toTexts(M.removed()),
                  .Fingerprint_ = M.fingerprint(),
-                 .ConfigAge_ = {M.config_age_ms()}};
+                 .ConfigAge_ = {M.config_age_ms()},
+                 .ConfigVersion_ = M.config_version()};
   if (M.changed() == nullptr)
     return Given;
   for (const auto *One : *M.changed())
