Repeat a start only while its order is recent, and never after a pause

Cause: world of 3,000 on the code with workers handed over: a holder stood still for 3.3 s; the first event after it was the time-out of a start, which was ordered once more, while the job had been given up by the same pause and ran elsewhere again. Ruled out: the hand-over.

--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -271,6 +271,16 @@
   Run.SettledBy_ = Hold.NextLook_;
 }
 
+static bool mayRepeatStart(const FleetTurn &T, const WorkerHold &Hold,
+                           const HeldRun &Run) {
+  // Not after a pause: the origin may have given the job up since.
+  const bool IsRecent =
+      T.Now_ >= T.State_.PauseSettledAt_ &&
+      T.Now_ - Run.OrderedAt_ <= T.State_.Options_.Holder_.OriginSilence_;
+  return IsRecent && !Run.IsRepeated_ && Run.Phase_ == RunPhase::Starting &&
+         Hold.Phase_ == HoldPhase::Open && isRenewable(T, Hold);
+}
+
 // Load pattern: a share of the orders gets no answer and is carried out seconds
 // later. The same order passes once more, since a worker starts a run only
 // once; without it the task would wait for a stop and a look.
@@ -336,8 +346,7 @@
     return;
   case OrderResult::Unknown:
     // It may start at any time until its lease is over; a stop forbids it.
-    if (!Run.IsRepeated_ && Run.Phase_ == RunPhase::Starting &&
-        Hold.Phase_ == HoldPhase::Open && isRenewable(T, Hold))
+    if (mayRepeatStart(T, Hold, Run))
       repeatStart(T, Hold, Id, Run);
     else
       sendStop(T, Hold, Id, Run);
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -59,6 +59,13 @@
   LONGS_EQUAL(1, Answers.size());
 }
 
+// The job was given up, and its caller may have come back elsewhere.
+TEST(AWorkerThatIsHeld, HasAStartWithoutAnswerNotRepeatedAfterAPause) {
+  S_.give(S_.job());
+  S_.freeze(1'000);
+  expectCount<StartRun>(0, S_.startAnswered(OrderResult::Unknown));
+}
+
 // The first order was carried out, though its answer was lost.
 TEST(AWorkerThatIsHeld, HasARunThatIsOverAlreadyNotStartedAgain) {
   S_.give(S_.job());
--- a/coordination/test/Simulation/FleetPromises.cpp
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -107,6 +107,7 @@
 
 TEST(FleetPromises_, WorldsOfAllFaultsThatHaveFailedBefore) {
   for (const uint64_t Seed : {
+           337586970ULL, // a start repeated after a pause
            836890988ULL, // an order read after the pause of a slow holder
            10539953ULL   // a late order in the next life, its task elsewhere
        }) {
