One piece for what the holder, the store's reader and tests did twice; split the holder's answers off

Ruled out: one reader of IP:PORT for platform, operators' tool and tools; they differ in what they refuse, so that behaviour would change.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -36,7 +36,7 @@
     return Info.DataCentre_ == Worker.DataCentre_;
   };
   for (const auto &[Run, Other] : State.Members_) {
-    if (!Other.Status_.IsReady_ || Other.Status_.IsStopping_)
+    if (!takesWork(Other.Status_))
       continue;
     if (IsNear(Other.Info_) != IsNear(*Best)) {
       if (IsNear(Other.Info_))
@@ -105,7 +105,8 @@
   T.State_.Holds_.erase(Id);
 }
 
-void loseToFence(FleetTurn &T, WorkerHold &Hold) {
+// Another holder has fenced this one off; its runs end with their lease.
+static void loseToFence(FleetTurn &T, WorkerHold &Hold) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
   if (Hold.Phase_ == HoldPhase::Claiming && !Hold.IsClosing_) {
     const uint32_t Doublings = std::min(Hold.FenceTries_++, MaxFenceDoublings);
@@ -147,12 +148,23 @@
   tellIfChanged(T, Hold);
 }
 
-void endLife(FleetTurn &T, WorkerHold &Hold) {
-  finishAllRuns(T, Hold, RunEnd::Lost);
+// The life that was held is over, and all that ran in it.
+static void endLife(FleetTurn &T, WorkerHold &Hold) {
+  loseAllRuns(T, Hold);
   forgetLife(T, Hold);
   Hold.NextLookAt_ = T.Now_ + T.State_.Options_.Holder_.RetryPause_;
 }
 
+bool loseWorker(FleetTurn &T, WorkerHold &Hold, OrderResult Result) {
+  if (Result == OrderResult::Fenced)
+    loseToFence(T, Hold);
+  else if (Result == OrderResult::OtherLife)
+    endLife(T, Hold);
+  else
+    return false;
+  return true;
+}
+
 static void noteFailedLook(FleetTurn &T, WorkerHold &Hold) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
   ++Hold.FailedLooks_;
@@ -175,24 +187,15 @@
 }
 
 void takeLists(FleetTurn &T, const WorkerListed &Listed) {
-  const auto Found = T.State_.Holds_.find(Listed.Worker_);
-  if (Found == T.State_.Holds_.end())
-    return;
-  WorkerHold &Hold = Found->second;
-  if (Listed.Look_ + 1 != Hold.NextLook_)
+  WorkerHold *Found = findHold(T.State_, Listed.Worker_);
+  if (Found == nullptr || Listed.Look_ + 1 != Found->NextLook_)
     return;
+  WorkerHold &Hold = *Found;
   Hold.IsLooking_ = false;
   Hold.NextLookAt_ = T.Now_;
-  switch (Listed.Result_) {
-  case OrderResult::Accepted:
-    break;
-  case OrderResult::Fenced:
-    loseToFence(T, Hold);
-    return;
-  case OrderResult::OtherLife:
-    endLife(T, Hold);
+  if (loseWorker(T, Hold, Listed.Result_))
     return;
-  default:
+  if (Listed.Result_ != OrderResult::Accepted) {
     noteFailedLook(T, Hold);
     return;
   }
@@ -232,16 +235,16 @@
   if (Hold.Phase_ == HoldPhase::Fenced) {
     if (!IsLeaseOver)
       return {};
-    finishAllRuns(T, Hold, RunEnd::Lost);
+    loseAllRuns(T, Hold);
     return "another instance holds it";
   }
   if (Hold.Phase_ == HoldPhase::Suspect && IsLeaseOver) {
-    finishRunsOfLife(T, Hold);
+    loseRunsOfLife(T, Hold);
     raiseFence(T, Hold);
     Hold.Phase_ = HoldPhase::Claiming;
   }
   if (Hold.Phase_ == HoldPhase::Claiming)
-    finishOldOrders(T, Hold);
+    loseOldOrders(T, Hold);
   repeatStops(T, Hold);
   tellIfChanged(T, Hold);
   if (Hold.Runs_.empty() && Hold.IsClosing_)
@@ -308,7 +311,7 @@
   std::size_t Instances = 1;
   for (const auto &[Run, Other] : State.Members_) {
     const bool IsTaking = Other.Info_.DataCentre_ == State.Self_.DataCentre_ &&
-                          Other.Status_.IsReady_ && !Other.Status_.IsStopping_;
+                          takesWork(Other.Status_);
     Instances += IsTaking ? 1 : 0;
   }
   const auto Workers = std::count_if(
@@ -331,7 +334,7 @@
   std::size_t Closing = 0;
   for (const auto &[Id, Hold] : State.Holds_)
     Closing += Hold.IsClosing_ ? 1 : 0;
-  std::size_t Excess = State.Holds_.size() - Most;
+  const std::size_t Excess = State.Holds_.size() - Most;
   for (auto &[Id, Hold] : State.Holds_) {
     if (Closing >= std::min(Options.MostHandedOver_, Excess))
       return;
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -71,6 +71,12 @@
 /// with more processor time, then by name.
 bool isPreferred(const InstanceInfo &A, const InstanceInfo &B);
 
+/// \brief Whether an instance is to hold workers and to place or read for
+/// others.
+inline bool takesWork(const InstanceStatus &Status) {
+  return Status.IsReady_ && !Status.IsStopping_;
+}
+
 /// \brief Sends a message to an instance, which may be this one.
 void tell(FleetTurn &T, Incarnation To, FleetMessage Message);
 
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -5,8 +5,13 @@
 
 namespace marjorambend::internal {
 
-/// Runs on a held worker; see Holder.cpp.
+/// Runs on a held worker; see Holder.cpp, HolderAnswers.cpp and
+/// HolderLists.cpp.
 /// @{
+/// The worker if it is held here, or nullptr.
+WorkerHold *findHold(FleetInstance &State, const std::string &Worker);
+/// The run if the worker has it, or nullptr.
+HeldRun *findRun(WorkerHold &Hold, const RunId &Id);
 WorkerTarget targetOf(const WorkerHold &Hold);
 bool isOpen(const WorkerHold &Hold, Milliseconds Now);
 /// Whether all origins of its runs were heard lately, so that its lease may be
@@ -19,7 +24,7 @@
 void tellIfChanged(FleetTurn &T, WorkerHold &Hold);
 void blameHold(FleetTurn &T, WorkerHold &Hold, std::string_view Why);
 void finishRun(FleetTurn &T, WorkerHold &Hold, RunId Id, RunEnd End);
-void finishAllRuns(FleetTurn &T, WorkerHold &Hold, RunEnd End);
+void loseAllRuns(FleetTurn &T, WorkerHold &Hold);
 
 /// \brief Keeps runs whose start is not answered until the worker has answered
 /// a look with the next token.
@@ -27,24 +32,26 @@
 
 /// \brief The worker's life may be over: ends all runs that had begun, and
 /// keeps the others until the next token is known to the worker.
-void finishRunsOfLife(FleetTurn &T, WorkerHold &Hold);
+void loseRunsOfLife(FleetTurn &T, WorkerHold &Hold);
 
 /// \brief Ends runs whose start is too old to be carried out any more.
-void finishOldOrders(FleetTurn &T, WorkerHold &Hold);
+void loseOldOrders(FleetTurn &T, WorkerHold &Hold);
 
 /// Takes the worker's clock from any of its answers.
 void noteClock(FleetTurn &T, WorkerHold &Hold,
                std::optional<Milliseconds> Clock);
+/// Renews the lease as well.
+void sendStart(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
+               const HeldRun &Run);
 void sendStop(FleetTurn &T, WorkerHold &Hold, const RunId &Id, HeldRun &Run);
 void applyLists(FleetTurn &T, WorkerHold &Hold, const WorkerListed &Listed);
 /// @}
 
 /// Claiming, watching and losing a worker; see Claims.cpp.
 /// @{
-/// Another holder has fenced this one off; its runs end with their lease.
-void loseToFence(FleetTurn &T, WorkerHold &Hold);
-/// The life that was held is over, and all that ran in it.
-void endLife(FleetTurn &T, WorkerHold &Hold);
+/// Gives the worker up if the answer to an order says that another holder has
+/// it, or that it is another one by now; returns whether it does.
+bool loseWorker(FleetTurn &T, WorkerHold &Hold, OrderResult Result);
 /// Looks at the worker now, unless a look is under way.
 void lookSoon(FleetTurn &T, WorkerHold &Hold);
 /// @}
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -8,6 +8,16 @@
 
 namespace marjorambend::internal {
 
+WorkerHold *findHold(FleetInstance &State, const std::string &Worker) {
+  const auto Found = State.Holds_.find(Worker);
+  return Found == State.Holds_.end() ? nullptr : &Found->second;
+}
+
+HeldRun *findRun(WorkerHold &Hold, const RunId &Id) {
+  const auto Found = Hold.Runs_.find(Id);
+  return Found == Hold.Runs_.end() ? nullptr : &Found->second;
+}
+
 WorkerTarget targetOf(const WorkerHold &Hold) {
   return {.Id_ = Hold.Report_.Id_,
           .Address_ = Hold.Report_.Address_,
@@ -129,9 +139,19 @@
   tellIfChanged(T, Hold);
 }
 
-void finishAllRuns(FleetTurn &T, WorkerHold &Hold, RunEnd End) {
-  while (!Hold.Runs_.empty())
-    finishRun(T, Hold, Hold.Runs_.begin()->first, End);
+template <typename Condition>
+static void loseRunsIf(FleetTurn &T, WorkerHold &Hold, Condition IsMeant) {
+  std::vector<RunId> Meant;
+  for (const auto &[Id, Run] : Hold.Runs_) {
+    if (IsMeant(Run))
+      Meant.push_back(Id);
+  }
+  for (const RunId &Id : Meant)
+    finishRun(T, Hold, Id, RunEnd::Lost);
+}
+
+void loseAllRuns(FleetTurn &T, WorkerHold &Hold) {
+  loseRunsIf(T, Hold, [](const HeldRun &) { return true; });
 }
 
 // A start without an answer may still be carried out, by the next life of the
@@ -144,29 +164,19 @@
   }
 }
 
-void finishRunsOfLife(FleetTurn &T, WorkerHold &Hold) {
-  std::vector<RunId> Over;
-  for (auto &[Id, Run] : Hold.Runs_) {
-    if (Run.IsStartOpen_)
-      Run.Phase_ = RunPhase::Stopping;
-    else
-      Over.push_back(Id);
-  }
-  for (const RunId &Id : Over)
-    finishRun(T, Hold, Id, RunEnd::Lost);
+void loseRunsOfLife(FleetTurn &T, WorkerHold &Hold) {
+  loseRunsIf(T, Hold, [](const HeldRun &Run) { return !Run.IsStartOpen_; });
+  for (auto &[Id, Run] : Hold.Runs_)
+    Run.Phase_ = RunPhase::Stopping;
   awaitNextToken(Hold);
 }
 
-void finishOldOrders(FleetTurn &T, WorkerHold &Hold) {
+void loseOldOrders(FleetTurn &T, WorkerHold &Hold) {
   const Milliseconds Oldest =
       T.Now_ - T.State_.Options_.Holder_.LateOrderBound_;
-  std::vector<RunId> Over;
-  for (const auto &[Id, Run] : Hold.Runs_) {
-    if (Run.IsStartOpen_ && Run.OrderedAt_ < Oldest)
-      Over.push_back(Id);
-  }
-  for (const RunId &Id : Over)
-    finishRun(T, Hold, Id, RunEnd::Lost);
+  loseRunsIf(T, Hold, [Oldest](const HeldRun &Run) {
+    return Run.IsStartOpen_ && Run.OrderedAt_ < Oldest;
+  });
 }
 
 static void refuseStart(FleetTurn &T, Incarnation Origin,
@@ -183,9 +193,18 @@
                 .End_ = RunEnd::NotStarted});
 }
 
+void sendStart(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
+               const HeldRun &Run) {
+  Hold.LeaseSentAt_ = T.Now_;
+  T.Out_.push_back(StartRun{.Worker_ = targetOf(Hold),
+                            .Run_ = Id,
+                            .Spec_ = Run.Spec_,
+                            .LeaseEnd_ = leaseEnd(T, Hold)});
+}
+
 void startRun(FleetTurn &T, Incarnation Origin, const StartOrder &Order) {
-  const auto Found = T.State_.Holds_.find(Order.Worker_);
-  if (Found == T.State_.Holds_.end()) {
+  WorkerHold *Found = findHold(T.State_, Order.Worker_);
+  if (Found == nullptr) {
     refuseStart(T, Origin, Order, "the worker is not held here");
     return;
   }
@@ -193,7 +212,7 @@
     refuseStart(T, Origin, Order, "just after a pause");
     return;
   }
-  WorkerHold &Hold = Found->second;
+  WorkerHold &Hold = *Found;
   if (!isOpen(Hold, T.Now_) || !Hold.ClockOffset_ || !isRenewable(T, Hold)) {
     refuseStart(T, Origin, Order, "the worker takes no new runs");
     return;
@@ -202,20 +221,19 @@
     refuseStart(T, Origin, Order, "no room");
     return;
   }
-  if (!Hold.Runs_
-           .try_emplace(Order.Run_, HeldRun{.Job_ = Order.Job_,
-                                            .Origin_ = Origin,
-                                            .Needs_ = Order.Needs_,
-                                            .Estimate_ = Order.Estimate_,
-                                            .Spec_ = Order.Spec_,
-                                            .OrderedAt_ = T.Now_,
-                                            .ProgressAt_ = T.Now_})
-           .second) {
+  const auto [Started, IsNew] =
+      Hold.Runs_.try_emplace(Order.Run_, HeldRun{.Job_ = Order.Job_,
+                                                 .Origin_ = Origin,
+                                                 .Needs_ = Order.Needs_,
+                                                 .Estimate_ = Order.Estimate_,
+                                                 .Spec_ = Order.Spec_,
+                                                 .OrderedAt_ = T.Now_,
+                                                 .ProgressAt_ = T.Now_});
+  if (!IsNew) {
     refuseStart(T, Origin, Order, "the run is there already");
     return;
   }
   Hold.Used_ = Hold.Used_ + Order.Needs_;
-  Hold.LeaseSentAt_ = T.Now_;
   increment(T.State_.Counters_, Counter::TasksStarted);
   log(T, "run_start", Order.Run_.Job_,
       {{"task", std::to_string(Order.Run_.Task_)},
@@ -225,10 +243,7 @@
        {"used_m", std::to_string(Hold.Used_.MilliCores_)},
        {"slowness_pct",
         std::to_string(static_cast<int>(Hold.Slowness_ * 100))}});
-  T.Out_.push_back(StartRun{.Worker_ = targetOf(Hold),
-                            .Run_ = Order.Run_,
-                            .Spec_ = Order.Spec_,
-                            .LeaseEnd_ = leaseEnd(T, Hold)});
+  sendStart(T, Hold, Order.Run_, Started->second);
   lookSoon(T, Hold);
 }
 
@@ -241,14 +256,10 @@
 }
 
 void stopRun(FleetTurn &T, const StopOrder &Order) {
-  const auto Found = T.State_.Holds_.find(Order.Worker_);
-  if (Found == T.State_.Holds_.end())
-    return;
-  const auto Run = Found->second.Runs_.find(Order.Run_);
-  if (Run == Found->second.Runs_.end() ||
-      Run->second.Phase_ == RunPhase::Stopping)
-    return;
-  sendStop(T, Found->second, Order.Run_, Run->second);
+  WorkerHold *Hold = findHold(T.State_, Order.Worker_);
+  HeldRun *Run = Hold == nullptr ? nullptr : findRun(*Hold, Order.Run_);
+  if (Run != nullptr && Run->Phase_ != RunPhase::Stopping)
+    sendStop(T, *Hold, Order.Run_, *Run);
 }
 
 void stopRunsOf(FleetTurn &T, Incarnation Origin) {
@@ -266,148 +277,4 @@
     Hold.ClockOffset_ = *Clock - T.Now_;
 }
 
-// The next look will show whether the run is there.
-static void settleRun(WorkerHold &Hold, HeldRun &Run) {
-  Run.SettledBy_ = Hold.NextLook_;
-}
-
-static bool mayRepeatStart(const FleetTurn &T, const WorkerHold &Hold,
-                           const HeldRun &Run) {
-  // Not after a pause: the origin may have given the job up since.
-  const bool IsRecent =
-      T.Now_ >= T.State_.PauseSettledAt_ &&
-      T.Now_ - Run.OrderedAt_ <= T.State_.Options_.Holder_.OriginSilence_;
-  return IsRecent && !Run.IsRepeated_ && Run.Phase_ == RunPhase::Starting &&
-         Hold.Phase_ == HoldPhase::Open && isRenewable(T, Hold);
-}
-
-// Load pattern: a share of the orders gets no answer and is carried out seconds
-// later. The same order passes once more, since a worker starts a run only
-// once; without it the task would wait for a stop and a look.
-static void repeatStart(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
-                        HeldRun &Run) {
-  Run.IsRepeated_ = true;
-  Hold.LeaseSentAt_ = T.Now_;
-  T.Out_.push_back(StartRun{.Worker_ = targetOf(Hold),
-                            .Run_ = Id,
-                            .Spec_ = Run.Spec_,
-                            .LeaseEnd_ = leaseEnd(T, Hold)});
-}
-
-// The first order may still be carried out, or has been.
-static bool applyRepeatedStart(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
-                               HeldRun &Run, OrderResult Result) {
-  switch (Result) {
-  case OrderResult::Superseded:
-    // It has run; the lists tell how it ended.
-    settleRun(Hold, Run);
-    lookSoon(T, Hold);
-    return true;
-  case OrderResult::Invalid:
-  case OrderResult::Unhealthy:
-  case OrderResult::NotDelivered:
-  case OrderResult::Late:
-  case OrderResult::NoRoom:
-    sendStop(T, Hold, Id, Run);
-    return true;
-  default:
-    return false;
-  }
-}
-
-static void applyStart(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
-                       HeldRun &Run, OrderResult Result) {
-  if (Run.IsRepeated_ && applyRepeatedStart(T, Hold, Id, Run, Result))
-    return;
-  switch (Result) {
-  case OrderResult::Accepted:
-    Run.StartedAt_ = T.Now_;
-    Run.IsStartOpen_ = Run.IsRepeated_;
-    Run.Spec_.clear();
-    observe(T.State_.Times_.Starts_, T.Now_ - Run.OrderedAt_);
-    settleRun(Hold, Run);
-    if (Run.Phase_ == RunPhase::Starting)
-      Run.Phase_ = RunPhase::Running;
-    return;
-  case OrderResult::Superseded:
-    finishRun(T, Hold, Id, RunEnd::Superseded);
-    return;
-  case OrderResult::Invalid:
-    finishRun(T, Hold, Id, RunEnd::Failed);
-    return;
-  case OrderResult::Unhealthy:
-    blameHold(T, Hold, "starts are refused as unhealthy");
-    finishRun(T, Hold, Id, RunEnd::NotStarted);
-    return;
-  case OrderResult::NotDelivered:
-  case OrderResult::Late:
-  case OrderResult::NoRoom:
-    finishRun(T, Hold, Id, RunEnd::NotStarted);
-    return;
-  case OrderResult::Unknown:
-    // It may start at any time until its lease is over; a stop forbids it.
-    if (mayRepeatStart(T, Hold, Run))
-      repeatStart(T, Hold, Id, Run);
-    else
-      sendStop(T, Hold, Id, Run);
-    return;
-  case OrderResult::Fenced:
-    loseToFence(T, Hold);
-    return;
-  case OrderResult::OtherLife:
-    endLife(T, Hold);
-    return;
-  }
-}
-
-void takeStartAnswer(FleetTurn &T, const StartAnswered &Answer) {
-  const auto Found = T.State_.Holds_.find(Answer.Worker_);
-  if (Found == T.State_.Holds_.end())
-    return;
-  WorkerHold &Hold = Found->second;
-  noteClock(T, Hold, Answer.WorkerClock_);
-  const auto Run = Hold.Runs_.find(Answer.Run_);
-  if (Run == Hold.Runs_.end())
-    return;
-  if (Answer.Result_ != OrderResult::Accepted) {
-    increment(T.State_.Counters_, Counter::StartsRejected);
-    log(T, "start_rejected", Answer.Run_.Job_,
-        {{"task", std::to_string(Answer.Run_.Task_)},
-         {"attempt", std::to_string(Answer.Run_.Attempt_)},
-         {"worker", Answer.Worker_},
-         {"result", nameOf(Answer.Result_)},
-         {"after_ms", text(T.Now_ - Run->second.OrderedAt_)}});
-  }
-  applyStart(T, Hold, Answer.Run_, Run->second, Answer.Result_);
-}
-
-void takeStopAnswer(FleetTurn &T, const StopAnswered &Answer) {
-  const auto Found = T.State_.Holds_.find(Answer.Worker_);
-  if (Found == T.State_.Holds_.end())
-    return;
-  WorkerHold &Hold = Found->second;
-  noteClock(T, Hold, Answer.WorkerClock_);
-  const auto Run = Hold.Runs_.find(Answer.Run_);
-  if (Run == Hold.Runs_.end())
-    return;
-  Run->second.IsStopSent_ = false;
-  switch (Answer.Result_) {
-  case OrderResult::Fenced:
-    loseToFence(T, Hold);
-    return;
-  case OrderResult::OtherLife:
-    endLife(T, Hold);
-    return;
-  case OrderResult::Unknown:
-  case OrderResult::NotDelivered:
-  case OrderResult::Unhealthy:
-    Run->second.NextStop_ = T.Now_ + T.State_.Options_.Holder_.RetryPause_;
-    return;
-  default:
-    settleRun(Hold, Run->second);
-    Run->second.NextStop_ = {INT64_MAX};
-    lookSoon(T, Hold);
-  }
-}
-
 } // namespace marjorambend::internal
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -127,7 +127,7 @@
   for (const auto &[Run, Other] : State.Members_) {
     const bool IsCandidate =
         Other.Info_.DataCentre_ == State.Self_.DataCentre_ &&
-        Other.Status_.IsReady_ && !Other.Status_.IsStopping_ &&
+        internal::takesWork(Other.Status_) &&
         Now - Other.HeardAt_ <= State.Options_.PlacerSilence_;
     if (IsCandidate && internal::isPreferred(Other.Info_, State.Self_))
       return false;
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -6,20 +6,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace marjorambend {
-
-bool hasRuns(const OriginJob &Job) {
-  return std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
-                     [](const OriginTask &Task) {
-                       return Task.Phase_ == OriginTaskPhase::Ordered;
-                     });
-}
-
-bool mayHaveRun(const OriginJob &Job) {
-  return Job.HasEndedRuns_ || hasRuns(Job);
-}
-
-namespace internal {
+namespace marjorambend::internal {
 
 // A worker refuses an attempt that is not above those it has ended. Another
 // origin may have made a few before the caller came here.
@@ -408,5 +395,4 @@
               T.State_.Options_.Placer_.LeastRetryAfter_);
 }
 
-} // namespace internal
-} // namespace marjorambend
+} // namespace marjorambend::internal
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/OriginJob.cpp
@@ -0,0 +1,18 @@
+#include "marjorambend/src/Fleet/OriginJob.h"
+
+#include <algorithm>
+
+namespace marjorambend {
+
+bool hasRuns(const OriginJob &Job) {
+  return std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
+                     [](const OriginTask &Task) {
+                       return Task.Phase_ == OriginTaskPhase::Ordered;
+                     });
+}
+
+bool mayHaveRun(const OriginJob &Job) {
+  return Job.HasEndedRuns_ || hasRuns(Job);
+}
+
+} // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
@@ -40,7 +40,7 @@
   const InstanceInfo *Best = isReady(State) ? &State.Self_ : nullptr;
   for (const auto &[Run, Other] : State.Members_) {
     const bool IsEligible =
-        Other.Status_.IsReady_ && !Other.Status_.IsStopping_ &&
+        takesWork(Other.Status_) &&
         T.Now_ - Other.HeardAt_ <= State.Options_.PlacerSilence_;
     if (IsEligible && (Best == nullptr || isPreferred(Other.Info_, *Best)))
       Best = &Other.Info_;
--- a/coordination/test/Fleet/OriginTests.cpp
+++ b/coordination/test/Fleet/OriginTests.cpp
@@ -14,6 +14,17 @@
 TEST_GROUP(AJobAtItsOrigin) {
   Story S_;
   void setup() override { S_.prepare(); }
+
+  /// The one answer to a job that comes while the only worker drains.
+  AnswerJob answerWithoutWorkers() {
+    WorkerReport Draining = Story::worker();
+    Draining.IsDraining_ = true;
+    S_.give(WorkersRead{{Draining}});
+    S_.give(S_.job());
+    const auto Answers = only<AnswerJob>(S_.pass(2'100));
+    LONGS_EQUAL(1, Answers.size());
+    return Answers[0];
+  }
 };
 
 TEST(AJobAtItsOrigin, IsRefusedAsNotRunBeforeThereIsAConfiguration) {
@@ -54,25 +65,15 @@
 }
 
 TEST(AJobAtItsOrigin, GivenUpBeforeAnyStartIsNotRun) {
-  WorkerReport Draining = Story::worker();
-  Draining.IsDraining_ = true;
-  S_.give(WorkersRead{{Draining}});
-  S_.give(S_.job());
-  const auto Answers = only<AnswerJob>(S_.pass(2'100));
-  LONGS_EQUAL(1, Answers.size());
-  CHECK(Answers[0].Outcome_ == JobOutcome::NotRun);
-  CHECK(Answers[0].RetryAfter_.Count_ > 0);
+  const AnswerJob Answer = answerWithoutWorkers();
+  CHECK(Answer.Outcome_ == JobOutcome::NotRun);
+  CHECK(Answer.RetryAfter_.Count_ > 0);
 }
 
 // With no open worker the backlog says nothing; workers come back soon.
 TEST(AJobAtItsOrigin, MayComeBackSoonWhenNoWorkerIsOpen) {
-  WorkerReport Draining = Story::worker();
-  Draining.IsDraining_ = true;
-  S_.give(WorkersRead{{Draining}});
-  S_.give(S_.job());
-  const auto Answers = only<AnswerJob>(S_.pass(2'100));
-  LONGS_EQUAL(1, Answers.size());
-  CHECK(Answers[0].RetryAfter_ <= Milliseconds{2'000});
+  const AnswerJob Answer = answerWithoutWorkers();
+  CHECK(Answer.RetryAfter_ <= Milliseconds{2'000});
 }
 
 TEST(AJobAtItsOrigin, GivenUpAfterAStartMayHaveRun) {
--- a/coordination/test/Simulation/FleetPromises.cpp
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -12,6 +12,10 @@
   return Text;
 }
 
+static std::string violationsIn(const FleetWorldOptions &Options) {
+  return join(FleetWorld(Options).run().Violations_);
+}
+
 static FleetWorldOptions smallWorld(uint64_t Seed) {
   FleetWorldOptions Options{.Seed_ = Seed,
                             .InstancesEach_ = 2,
@@ -22,12 +26,16 @@
   return Options;
 }
 
-static FleetWorldOptions anyFaults(uint64_t Seed) {
-  FleetWorldOptions Options = smallWorld(Seed);
-  Random Generator(Seed ^ 0x9E3779B97F4A7C15ULL);
-  const auto Some = [&Generator](uint64_t Most) {
+/// Draws counts between 0 and a greatest one.
+static auto countsFrom(uint64_t Seed) {
+  return [Generator = Random(Seed)](uint64_t Most) mutable {
     return static_cast<uint32_t>(uniformBelow(Generator, Most + 1));
   };
+}
+
+static FleetWorldOptions anyFaults(uint64_t Seed) {
+  FleetWorldOptions Options = smallWorld(Seed);
+  auto Some = countsFrom(Seed ^ 0x9E3779B97F4A7C15ULL);
   Options.Kills_ = Some(3);
   Options.PowerLosses_ = Some(2);
   Options.Freezes_ = Some(3);
@@ -47,10 +55,7 @@
 /// Data centres cut off, slow instances and clocks that jump as well.
 static FleetWorldOptions allFaults(uint64_t Seed) {
   FleetWorldOptions Options = anyFaults(Seed);
-  Random Generator(Seed ^ 0xD1B54A32D192ED03ULL);
-  const auto Some = [&Generator](uint64_t Most) {
-    return static_cast<uint32_t>(uniformBelow(Generator, Most + 1));
-  };
+  auto Some = countsFrom(Seed ^ 0xD1B54A32D192ED03ULL);
   Options.ZoneCuts_ = Some(1);
   Options.Slowdowns_ = Some(2);
   Options.ClockSteps_ = Some(2);
@@ -75,16 +80,15 @@
   const char *Seed = std::getenv("MARJORAMBEND_WORLD");
   if (Seed == nullptr)
     return;
-  const FleetWorldResult Result =
-      FleetWorld(allFaults(std::strtoull(Seed, nullptr, 10))).run();
-  STRCMP_EQUAL("", join(Result.Violations_).c_str());
+  const uint64_t Number = std::strtoull(Seed, nullptr, 10);
+  STRCMP_EQUAL("", violationsIn(allFaults(Number)).c_str());
 }
 
 TEST(FleetPromises_, HoldUnderAnyFaults) {
   CHECK(rc::check("promises hold under any faults", [](uint64_t Seed) {
-    const FleetWorldResult Result = FleetWorld(allFaults(Seed)).run();
-    if (!Result.Violations_.empty())
-      RC_FAIL("seed " + std::to_string(Seed) + ": " + join(Result.Violations_));
+    const std::string Violations = violationsIn(allFaults(Seed));
+    if (!Violations.empty())
+      RC_FAIL("seed " + std::to_string(Seed) + ": " + Violations);
   }));
 }
 
@@ -100,8 +104,7 @@
            162411772646ULL,      // a late order, a lost holder, a cut
            10589248395ULL        // detection and lease outlast the resend
        }) {
-    const FleetWorldResult Result = FleetWorld(anyFaults(Seed)).run();
-    STRCMP_EQUAL("", join(Result.Violations_).c_str());
+    STRCMP_EQUAL("", violationsIn(anyFaults(Seed)).c_str());
   }
 }
 
@@ -111,8 +114,7 @@
            836890988ULL, // an order read after the pause of a slow holder
            10539953ULL   // a late order in the next life, its task elsewhere
        }) {
-    const FleetWorldResult Result = FleetWorld(allFaults(Seed)).run();
-    STRCMP_EQUAL("", join(Result.Violations_).c_str());
+    STRCMP_EQUAL("", violationsIn(allFaults(Seed)).c_str());
   }
 }
 
--- a/ctl/Top.cpp
+++ b/ctl/Top.cpp
@@ -2,6 +2,7 @@
 
 #include "Commands.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <cstdlib>
@@ -121,6 +122,45 @@
               static_cast<long long>(Row.P99Ms_));
 }
 
+static void printTable(const std::vector<TopRow> &Rows) {
+  std::printf("%-21s %-5s %-6s %6s %7s %7s %7s %6s %7s %7s %7s %6s %6s\n",
+              "instance", "ready", "placer", "open", "waiting", "workers",
+              "config", "list", "done/s", "not/s", "may/s", "p50", "p99");
+  for (const TopRow &Row : Rows)
+    printRow(Row);
+}
+
+static void printJson(const std::vector<TopRow> &Rows) {
+  Json All = Json::array();
+  for (const TopRow &Row : Rows)
+    All.push_back(jsonOf(Row));
+  std::cout << All.dump() << '\n';
+}
+
+// Two readings of each, one interval apart.
+static std::vector<TopRow> readRows(OperatorClient &Client,
+                                    const std::vector<Endpoint> &Asked,
+                                    Milliseconds Between) {
+  const auto ScrapeOf = [&Client](const Endpoint &At) {
+    return Client.call(At, "GET", "/metrics").map([](const OperatorAnswer &A) {
+      return readScrape(A.Text_);
+    });
+  };
+  std::vector<tl::expected<Scrape, OperatorFailure>> Before;
+  Before.reserve(Asked.size());
+  for (const Endpoint &At : Asked)
+    Before.push_back(ScrapeOf(At));
+  const Milliseconds Start = monotonicNow();
+  Client.pause(Between);
+  std::vector<TopRow> Rows(Asked.size());
+  for (std::size_t Index = 0; Index < Asked.size(); ++Index) {
+    const auto After = ScrapeOf(Asked[Index]);
+    if (Before[Index] && After)
+      Rows[Index] = rowOf(*Before[Index], *After, monotonicNow() - Start);
+  }
+  return Rows;
+}
+
 int runTop(OperatorClient &Client, const std::vector<std::string> &Words,
            Milliseconds Between, bool IsJson) {
   std::vector<Endpoint> Asked;
@@ -137,42 +177,17 @@
                  "addresses of instances, and --interval_ms above 0\n";
     return ExitUsage;
   }
-  std::vector<tl::expected<Scrape, OperatorFailure>> Before;
-  Before.reserve(Asked.size());
-  const auto ScrapeOf = [&Client](const Endpoint &At) {
-    return Client.call(At, "GET", "/metrics").map([](const OperatorAnswer &A) {
-      return readScrape(A.Text_);
-    });
-  };
-  for (const Endpoint &At : Asked)
-    Before.push_back(ScrapeOf(At));
-  const Milliseconds Start = monotonicNow();
-  Client.pause(Between);
-  std::vector<TopRow> Rows;
-  for (std::size_t Index = 0; Index < Asked.size(); ++Index) {
-    const auto After = ScrapeOf(Asked[Index]);
-    TopRow Row;
-    if (Before[Index] && After)
-      Row = rowOf(*Before[Index], *After, monotonicNow() - Start);
-    Row.Address_ = Words[Index + 1];
-    Rows.push_back(std::move(Row));
-  }
-  bool IsAnyMissing = false;
-  if (!IsJson)
-    std::printf("%-21s %-5s %-6s %6s %7s %7s %7s %6s %7s %7s %7s %6s %6s\n",
-                "instance", "ready", "placer", "open", "waiting", "workers",
-                "config", "list", "done/s", "not/s", "may/s", "p50", "p99");
-  Json All = Json::array();
-  for (const TopRow &Row : Rows) {
-    IsAnyMissing = IsAnyMissing || !Row.IsReached_;
-    if (IsJson)
-      All.push_back(jsonOf(Row));
-    else
-      printRow(Row);
-  }
+  std::vector<TopRow> Rows = readRows(Client, Asked, Between);
+  for (std::size_t Index = 0; Index < Rows.size(); ++Index)
+    Rows[Index].Address_ = Words[Index + 1];
   if (IsJson)
-    std::cout << All.dump() << '\n';
-  return IsAnyMissing ? ExitUnreachable : ExitDone;
+    printJson(Rows);
+  else
+    printTable(Rows);
+  const bool IsAllReached =
+      std::all_of(Rows.begin(), Rows.end(),
+                  [](const TopRow &Row) { return Row.IsReached_; });
+  return IsAllReached ? ExitDone : ExitUnreachable;
 }
 
 } // namespace marjorambend
