Say in the lines how old the views were, time the sessions, escape labels

`placed`, `place_refused` and `run_start` gave none of the view of the workers nor of the lease; a start that was ordered once more had no line; calls between instances had no histogram; a route's name could end its label in the metrics.

Change: the placer sends with each placement the free room and the time since the last word of the worker's holder, `place_refused` has that of the instance heard least lately, `run_start` what was left of the lease and the age of the worker's last answer, and `start_repeated` is new. A session times each message until it is confirmed (`session_confirm_milliseconds`). Label values are escaped.

Ruled out: the time since a worker's view last changed, as its age: holders tell changes at once, so that an old view is not stale while the holder is heard.

--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -59,6 +59,8 @@
   uint32_t Task_ = 0;
   std::string Worker_;
   Incarnation Holder_;
+  int64_t FreeMilliCores_ = 0; ///< Of the worker, before this.
+  Milliseconds ViewAge_;       ///< Since the holder's last word.
 };
 
 /// \brief Workers for some tasks of a job.
--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -75,7 +75,7 @@
                             internal::outcomeLabel(Index));
   Text += renderHistogramType("route_answer_milliseconds");
   for (const auto &[Name, Outcomes] : State.Times_.ByRoute_) {
-    const std::string Labels = "route=\"" + Name + "\",";
+    const std::string Labels = renderLabel("route", Name) + ',';
     for (std::size_t Index = 0; Index < JobOutcomeCount; ++Index) {
       if (Outcomes[Index].Count_ > 0)
         Text += renderHistogram(Outcomes[Index], "route_answer_milliseconds",
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -4,6 +4,7 @@
 #include "marjorambend/src/Fleet/FleetStep.h"
 #include "marjorambend/src/Fleet/HoldStep.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace marjorambend::internal {
@@ -63,6 +64,12 @@
          Options.RetryPause_;
 }
 
+// Of the lease as it was renewed last.
+static Milliseconds leaseLeft(const FleetTurn &T, const WorkerHold &Hold) {
+  const Milliseconds End = Hold.LeaseSentAt_ + T.State_.Options_.Holder_.Lease_;
+  return std::max(End - T.Now_, Milliseconds{0});
+}
+
 void tellHold(FleetTurn &T, WorkerHold &Hold) {
   Hold.WasToldOpen_ = isOpen(Hold, T.Now_);
   Hold.ToldSlowness_ = Hold.Slowness_;
@@ -241,6 +248,8 @@
        {"worker", Order.Worker_},
        {"life", std::to_string(Hold.Report_.Life_)},
        {"used_m", std::to_string(Hold.Used_.MilliCores_)},
+       {"lease_left_ms", text(leaseLeft(T, Hold))},
+       {"answer_age_ms", text(T.Now_ - Hold.AnsweredAt_)},
        {"slowness_pct",
         std::to_string(static_cast<int>(Hold.Slowness_ * 100))}});
   sendStart(T, Hold, Order.Run_, Started->second);
@@ -273,8 +282,10 @@
 
 void noteClock(FleetTurn &T, WorkerHold &Hold,
                std::optional<Milliseconds> Clock) {
-  if (Clock)
-    Hold.ClockOffset_ = *Clock - T.Now_;
+  if (!Clock)
+    return;
+  Hold.ClockOffset_ = *Clock - T.Now_;
+  Hold.AnsweredAt_ = T.Now_;
 }
 
 } // namespace marjorambend::internal
--- a/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
+++ b/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
@@ -28,6 +28,11 @@
 static void repeatStart(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
                         HeldRun &Run) {
   Run.IsRepeated_ = true;
+  log(T, "start_repeated", Id.Job_,
+      {{"task", std::to_string(Id.Task_)},
+       {"attempt", std::to_string(Id.Attempt_)},
+       {"worker", Hold.Report_.Id_},
+       {"after_ms", text(T.Now_ - Run.OrderedAt_)}});
   sendStart(T, Hold, Id, Run);
 }
 
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -243,6 +243,8 @@
       {{"task", std::to_string(Place.Task_)},
        {"attempt", std::to_string(Task.Attempt_)},
        {"worker", Place.Worker_},
+       {"free_m", std::to_string(Place.FreeMilliCores_)},
+       {"view_age_ms", text(Place.ViewAge_)},
        {"waited_ms", text(T.Now_ - Job.ArrivedAt_)}});
   tell(T, Place.Holder_,
        StartOrder{.Job_ = Job.Number_,
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -243,6 +243,20 @@
                      Options.MostRetryAfter_.Count_)};
 }
 
+// A holder tells what changes at once, and every heartbeat that it is there.
+static Milliseconds viewAge(const FleetTurn &T, Incarnation Holder) {
+  const auto Known = T.State_.Members_.find(Holder);
+  return Known == T.State_.Members_.end() ? Milliseconds{0}
+                                          : T.Now_ - Known->second.HeardAt_;
+}
+
+static Milliseconds oldestView(const FleetTurn &T) {
+  Milliseconds Oldest;
+  for (const auto &[Run, Member] : T.State_.Members_)
+    Oldest = std::max(Oldest, T.Now_ - Member.HeardAt_);
+  return Oldest;
+}
+
 static void refuse(FleetTurn &T, PlacerJob &Job, std::string_view Why) {
   const Milliseconds ComeBack = retryAfter(T);
   log(T, "place_refused", Job.Request_.Id_,
@@ -250,6 +264,7 @@
        {"waited_ms", text(T.Now_ - Job.ArrivedAt_)},
        {"waiting_jobs", std::to_string(T.State_.Placing_.Waiting_.size())},
        {"open_workers", std::to_string(T.State_.Placing_.ByFree_.size())},
+       {"view_age_ms", text(oldestView(T))},
        {"retry_after_ms", text(ComeBack)}});
   Job.Request_.Tasks_.clear();
   tell(T, Job.Origin_, PlaceRefused{Job.Request_.Job_, ComeBack});
@@ -267,10 +282,13 @@
         chooseWorkerFor(Placing, Wish, T.State_.Options_.Placer_, T.Now_);
     if (Chosen == Placing.Workers_.end())
       break;
+    Answer.Tasks_.push_back({.Task_ = Tasks.front(),
+                             .Worker_ = Chosen->first,
+                             .Holder_ = Chosen->second.Holder_,
+                             .FreeMilliCores_ = Chosen->second.IndexedFree_,
+                             .ViewAge_ = viewAge(T, Chosen->second.Holder_)});
     addReserved(Placing, Chosen->first, Job.Request_.Needs_);
     Job.Reservations_.push_back({Tasks.front(), Chosen->first});
-    Answer.Tasks_.push_back(
-        {Tasks.front(), Chosen->first, Chosen->second.Holder_});
     Tasks.erase(Tasks.begin());
   }
   if (!Answer.Tasks_.empty())
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -55,6 +55,7 @@
   uint32_t FenceTries_ = 0;
   /// The worker's clock less ours; unknown before its first answer.
   std::optional<Milliseconds> ClockOffset_;
+  Milliseconds AnsweredAt_; ///< Its last answer.
   uint64_t AckedThrough_ = 0;
   std::map<RunId, HeldRun> Runs_;
   Room Used_; ///< By these runs.
--- a/coordination/marjorambend/src/Support/Histogram.cpp
+++ b/coordination/marjorambend/src/Support/Histogram.cpp
@@ -16,6 +16,20 @@
   return "# TYPE marjorambend_" + std::string(Name) + " histogram\n";
 }
 
+std::string renderLabel(std::string_view Name, std::string_view Value) {
+  std::string Text = std::string(Name) + "=\"";
+  for (const char One : Value) {
+    if (One == '\n') {
+      Text += "\\n";
+      continue;
+    }
+    if (One == '"' || One == '\\')
+      Text += '\\';
+    Text += One;
+  }
+  return Text + '"';
+}
+
 std::string renderHistogram(const Histogram &From, std::string_view Name,
                             std::string_view Labels) {
   const std::string Whole = "marjorambend_" + std::string(Name);
--- a/coordination/marjorambend/src/Support/Histogram.h
+++ b/coordination/marjorambend/src/Support/Histogram.h
@@ -30,6 +30,10 @@
 /// \brief The line that comes before all histograms of a name.
 std::string renderHistogramType(std::string_view Name);
 
+/// \brief One label, such as `route="quotes"`, with what would end the value
+/// escaped.
+std::string renderLabel(std::string_view Name, std::string_view Value);
+
 /// \brief The usual text form for scraping.
 ///
 /// \param Name without the product's prefix.
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -275,6 +275,9 @@
               renderGauge("store_calls", Store_.calls()) +
               renderCallTimes(Store_.times(), "store_call_milliseconds") +
               renderCallTimes(Workers_.times(), "worker_call_milliseconds") +
+              renderHistogramType("session_confirm_milliseconds") +
+              renderHistogram(Links_.confirmTimes(),
+                              "session_confirm_milliseconds", "") +
               renderGauge("log_lines_dropped", Log_.dropped()) +
               renderGauge("log_lines_sampled_out", Log_.sampledOut())};
 }
--- a/transport/marjorambend/src/Transport/FleetCodec.cpp
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -129,7 +129,8 @@
     std::vector<flatbuffers::Offset<fleetwire::Placement>> Tasks;
     for (const Placement &One : M.Tasks_)
       Tasks.push_back(fleetwire::CreatePlacement(
-          B_, One.Task_, text(One.Worker_), One.Holder_.Value_));
+          B_, One.Task_, text(One.Worker_), One.Holder_.Value_,
+          One.FreeMilliCores_, One.ViewAge_.Count_));
     const auto All = B_.CreateVector(Tasks);
     return {fleetwire::Body::Placed,
             fleetwire::CreatePlaced(B_, M.Job_, All).Union()};
@@ -235,8 +236,11 @@
   if (M.tasks() == nullptr)
     return Given;
   for (const auto *One : *M.tasks())
-    Given.Tasks_.push_back(
-        {One->task(), fromWire(One->worker()), {One->holder()}});
+    Given.Tasks_.push_back({.Task_ = One->task(),
+                            .Worker_ = fromWire(One->worker()),
+                            .Holder_ = {One->holder()},
+                            .FreeMilliCores_ = One->free_milli_cores(),
+                            .ViewAge_ = {One->view_age_ms()}});
   return Given;
 }
 
--- a/transport/marjorambend/src/Transport/Session.cpp
+++ b/transport/marjorambend/src/Transport/Session.cpp
@@ -2,7 +2,8 @@
 
 namespace marjorambend {
 
-HelloResult takeHello(Session &State, const SessionHello &Hello) {
+HelloResult takeHello(Session &State, const SessionHello &Hello,
+                      Milliseconds Now, Histogram &Times) {
   State.Peer_ = Hello.Info_;
   if (State.PeerNonce_ == 0) {
     if (Hello.PeerNonce_ != 0 && Hello.PeerNonce_ != State.Nonce_)
@@ -14,7 +15,7 @@
     return HelloResult::Ended;
   if (Hello.PeerNonce_ != 0 && Hello.PeerNonce_ != State.Nonce_)
     return HelloResult::Ended;
-  confirmThrough(State, Hello.Received_);
+  confirmThrough(State, Hello.Received_, Now, Times);
   return HelloResult::Resumed;
 }
 
@@ -25,10 +26,13 @@
           .Received_ = State.Received_};
 }
 
-void confirmThrough(Session &State, uint64_t Received) {
+void confirmThrough(Session &State, uint64_t Received, Milliseconds Now,
+                    Histogram &Times) {
   while (!State.Unconfirmed_.empty() &&
-         State.Unconfirmed_.front().first <= Received)
+         State.Unconfirmed_.front().Sequence_ <= Received) {
+    observe(Times, Now - State.Unconfirmed_.front().SentAt_);
     State.Unconfirmed_.pop_front();
+  }
 }
 
 bool isNext(Session &State, uint64_t Sequence) {
--- a/transport/marjorambend/src/Transport/SessionLinks.cpp
+++ b/transport/marjorambend/src/Transport/SessionLinks.cpp
@@ -192,7 +192,7 @@
     return true;
   Session &State = Found->second.Session_;
   State.HeardAt_ = monotonicNow();
-  confirmThrough(State, Frame.Received_);
+  confirmThrough(State, Frame.Received_, State.HeardAt_, ConfirmTimes_);
   const bool IsGap =
       Frame.Sequence_ != 0 && Frame.Sequence_ > State.Received_ + 1;
   if (IsGap) {
@@ -237,15 +237,17 @@
     write(From, {.Body_ = helloFor(entryFor(Info).Session_, Options_.Self_)});
     return true;
   }
-  HelloResult Result = takeHello(entryFor(Info).Session_, Hello);
+  const Milliseconds Now = monotonicNow();
+  HelloResult Result =
+      takeHello(entryFor(Info).Session_, Hello, Now, ConfirmTimes_);
   if (Result == HelloResult::Ended) {
     From.Run_.reset(); // keeps this connection open
     endSession(Info.Run_);
     From.Run_ = Info.Run_;
-    Result = takeHello(entryFor(Info).Session_, Hello);
+    Result = takeHello(entryFor(Info).Session_, Hello, Now, ConfirmTimes_);
   }
   Entry &State = entryFor(Info);
-  State.Session_.HeardAt_ = monotonicNow();
+  State.Session_.HeardAt_ = Now;
   if (Hello.PeerNonce_ != State.Session_.Nonce_)
     write(From, {.Body_ = helloFor(State.Session_, Options_.Self_)});
   if (Result == HelloResult::Ignored)
@@ -261,10 +263,10 @@
   if (Old == &New)
     return;
   State.Active_ = &New;
-  for (const auto &[Sequence, Message] : State.Session_.Unconfirmed_)
-    write(New, {.Sequence_ = Sequence,
+  for (const SentMessage &Sent : State.Session_.Unconfirmed_)
+    write(New, {.Sequence_ = Sent.Sequence_,
                 .Received_ = State.Session_.Received_,
-                .Body_ = Message});
+                .Body_ = Sent.Message_});
   // Of two connections that were dialled crosswise, both sides keep the one of
   // the smaller run; a later one replaces an earlier one of the same side.
   if (Old == nullptr)
@@ -296,7 +298,9 @@
   // A state is outdated by the next one and need not be repeated.
   if (!std::holds_alternative<InstanceStatus>(Message)) {
     Sequence = ++State.Session_.Sent_;
-    State.Session_.Unconfirmed_.emplace_back(Sequence, Message);
+    State.Session_.Unconfirmed_.push_back({.Sequence_ = Sequence,
+                                           .SentAt_ = monotonicNow(),
+                                           .Message_ = Message});
   }
   if (State.Active_ != nullptr)
     write(*State.Active_, {.Sequence_ = Sequence,
--- a/transport/marjorambend/src/Transport/SessionLinks.h
+++ b/transport/marjorambend/src/Transport/SessionLinks.h
@@ -68,6 +68,10 @@
   /// \brief Sends a message; it is dropped if there is no session.
   void send(Incarnation To, const FleetMessage &Message);
 
+  /// \brief From the sending of messages to their confirmation, which comes
+  /// with the next frame from the other side: at a heartbeat, if not before.
+  const Histogram &confirmTimes() const { return ConfirmTimes_; }
+
   struct Connection;
 
 private:
@@ -107,6 +111,7 @@
   std::map<Incarnation, Entry> Sessions_;
   std::map<Incarnation, uint64_t> Nonces_; ///< Sessions begun with each run.
   Milliseconds NextDial_;
+  Histogram ConfirmTimes_;
   std::unique_ptr<Timer> Tick_;
 };
 
--- a/transport/test/SessionTests.cpp
+++ b/transport/test/SessionTests.cpp
@@ -15,12 +15,17 @@
 TEST_GROUP(ASession) {
   Session A_{.Nonce_ = 11};
   Session B_{.Nonce_ = 21};
+  Histogram Times_;
+
+  int greet(Session & State, const SessionHello &Hello) {
+    return static_cast<int>(takeHello(State, Hello, {100}, Times_));
+  }
 
   void greetBoth() {
     LONGS_EQUAL(int(HelloResult::Established),
-                int(takeHello(A_, helloFor(B_, infoOf(2)))));
+                greet(A_, helloFor(B_, infoOf(2))));
     LONGS_EQUAL(int(HelloResult::Established),
-                int(takeHello(B_, helloFor(A_, infoOf(1)))));
+                greet(B_, helloFor(A_, infoOf(1))));
   }
 };
 
@@ -32,13 +37,25 @@
 
 TEST(ASession, GoesOnOverANewConnection) {
   greetBoth();
-  A_.Unconfirmed_ = {{1, PlaceWithdraw{1}}, {2, PlaceWithdraw{2}}};
+  A_.Unconfirmed_ = {{.Sequence_ = 1, .Message_ = PlaceWithdraw{1}},
+                     {.Sequence_ = 2, .Message_ = PlaceWithdraw{2}}};
   A_.Sent_ = 2;
   CHECK(isNext(B_, 1));
-  LONGS_EQUAL(int(HelloResult::Resumed),
-              int(takeHello(A_, helloFor(B_, infoOf(2)))));
+  LONGS_EQUAL(int(HelloResult::Resumed), greet(A_, helloFor(B_, infoOf(2))));
   LONGS_EQUAL(1, A_.Unconfirmed_.size());
-  LONGS_EQUAL(2, A_.Unconfirmed_.front().first);
+  LONGS_EQUAL(2, A_.Unconfirmed_.front().Sequence_);
+}
+
+TEST(ASession, CountsHowLongEachMessageWasUnderWay) {
+  greetBoth();
+  A_.Unconfirmed_ = {
+      {.Sequence_ = 1, .SentAt_ = {10}, .Message_ = PlaceWithdraw{1}},
+      {.Sequence_ = 2, .SentAt_ = {60}, .Message_ = PlaceWithdraw{2}}};
+  confirmThrough(A_, 1, {100}, Times_);
+  LONGS_EQUAL(1, Times_.Count_);
+  LONGS_EQUAL(90, Times_.Sum_);
+  confirmThrough(A_, 2, {100}, Times_);
+  LONGS_EQUAL(90 + 40, Times_.Sum_);
 }
 
 TEST(ASession, TakesEachMessageOnceAndInOrder) {
@@ -52,15 +69,13 @@
 TEST(ASession, EndsWhenTheOtherSideHasForgottenIt) {
   greetBoth();
   Session Anew{.Nonce_ = 22};
-  LONGS_EQUAL(int(HelloResult::Ended),
-              int(takeHello(A_, helloFor(Anew, infoOf(2)))));
+  LONGS_EQUAL(int(HelloResult::Ended), greet(A_, helloFor(Anew, infoOf(2))));
   Session Next{.Nonce_ = 12};
-  LONGS_EQUAL(int(HelloResult::Ignored),
-              int(takeHello(Anew, helloFor(A_, infoOf(1)))));
+  LONGS_EQUAL(int(HelloResult::Ignored), greet(Anew, helloFor(A_, infoOf(1))));
   LONGS_EQUAL(int(HelloResult::Established),
-              int(takeHello(Next, helloFor(Anew, infoOf(2)))));
+              greet(Next, helloFor(Anew, infoOf(2))));
   LONGS_EQUAL(int(HelloResult::Established),
-              int(takeHello(Anew, helloFor(Next, infoOf(1)))));
+              greet(Anew, helloFor(Next, infoOf(1))));
 }
 
 namespace {
