--- a/coordination/test/Fleet/Story.h
+++ b/coordination/test/Fleet/Story.h
@@ -64,7 +64,7 @@
   }
 
   /// \brief The worker answers the look that is under way.
-  FleetActions list(std::vector<RunId> Running,
+  FleetActions list(const std::vector<RunId> &Running,
                     std::vector<ListedEnd> Ended = {}, int64_t Life = 1) {
     WorkerListed Lists{.Worker_ = "w",
                        .Look_ = LastLook_.Look_,
