Put new fencing tokens above all that were heard of; a fenced worker's runs last a lease

Its next holder had made a token from its own clock, which was behind the clock of the old holder; a start that the old one had ordered was carried out seconds late, with the higher token, in the new life.

Ruled out: the new holder's own orders (token and life in the trace are the old holder's); the known case of a late order before any look of the holder (here the new life was held and open); the exemption for that case (its look count now leaves out looks that are themselves carried out late: a dead holder's look is none of a holder that knows the new life).

Change: each instance keeps the highest token made or heard of, tells it with every heartbeat and with the workers that it holds, and makes higher ones only. A fenced worker's runs count as lost after the longest lease that a worker grants (1,000 ms, as long as the fencing order may have renewed), not ours.

Tests TakesATokenAboveAllThatWereHeardOf, HasItsTokenToldToAll, KeepsRunsForAWholeLeaseOnceItIsFencedOff fail without it. The planted long leases now also plant the longest lease, since that is where a fenced hold waits.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -10,9 +10,16 @@
 namespace marjorambend::internal {
 
 // Fencing tokens are wall-clock milliseconds with random low bits, so that a
-// later claim has the higher token without asking anyone. A claim that is
-// fenced off all the same steps up by a second, then two, then four...
+// later claim has the higher token without asking anyone. Where clocks differ
+// or jump, it lies above all tokens heard of: the next life of a worker has
+// seen no token, and would take an order to the old one that arrives late. A
+// claim that is fenced off all the same steps up by a second, then two, then
+// four...
 static constexpr uint64_t FenceLowBits = 1024;
+// Spread of tokens above those heard of, so that two claims rarely get the
+// same; 16 ms of the clock, so that a wave of claims does not run far ahead of
+// it.
+static constexpr uint64_t FenceSpread = 16 * FenceLowBits;
 static constexpr uint64_t FenceStep = 1000 * FenceLowBits;
 static constexpr uint32_t MaxFenceDoublings = 16;
 
@@ -21,8 +28,14 @@
 }
 
 static uint64_t freshFence(FleetInstance &State) {
-  return static_cast<uint64_t>(State.WallClock_.Count_) * FenceLowBits +
-         uniformBelow(State.Generator_, FenceLowBits);
+  uint64_t Token =
+      static_cast<uint64_t>(State.WallClock_.Count_) * FenceLowBits +
+      uniformBelow(State.Generator_, FenceLowBits);
+  if (Token <= State.HighestToken_)
+    Token =
+        State.HighestToken_ + 1 + uniformBelow(State.Generator_, FenceSpread);
+  noteToken(State, Token);
+  return Token;
 }
 
 // Rendezvous hashing among the instances of the worker's data centre, or among
@@ -105,19 +118,21 @@
   T.State_.Holds_.erase(Id);
 }
 
-// Another holder has fenced this one off; its runs end with their lease.
+// Another holder has fenced this one off; its runs end with their lease, which
+// that order has renewed for as long as a worker grants at most.
 static void loseToFence(FleetTurn &T, WorkerHold &Hold) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
   if (Hold.Phase_ == HoldPhase::Claiming && !Hold.IsClosing_) {
     const uint32_t Doublings = std::min(Hold.FenceTries_++, MaxFenceDoublings);
-    Hold.Fence_ =
-        std::max(Hold.Fence_, freshFence(T.State_)) + (FenceStep << Doublings);
+    Hold.Fence_ = freshFence(T.State_) + (FenceStep << Doublings);
+    noteToken(T.State_, Hold.Fence_);
     Hold.NextLookAt_ = T.Now_;
     return;
   }
   if (Hold.Phase_ == HoldPhase::Fenced)
     return;
   Hold.Phase_ = HoldPhase::Fenced;
+  Hold.FencedAt_ = T.Now_;
   T.State_.FencedUntil_[Hold.Report_.Id_] = T.Now_ + Options.FencedPause_;
   increment(T.State_.Counters_, Counter::HoldsLost);
   log(T, "worker_fenced", 0,
@@ -127,7 +142,7 @@
 }
 
 static void raiseFence(FleetTurn &T, WorkerHold &Hold) {
-  Hold.Fence_ = std::max(Hold.Fence_ + 1, freshFence(T.State_));
+  Hold.Fence_ = freshFence(T.State_);
 }
 
 // What was learnt of the old life does not hold for the next one. It has seen
@@ -381,7 +396,7 @@
 }
 
 void tellAllHolds(FleetTurn &T, Incarnation To) {
-  WorkersHeld Message;
+  WorkersHeld Message{.HighestToken_ = T.State_.HighestToken_};
   for (const auto &[Id, Hold] : T.State_.Holds_)
     Message.Workers_.push_back({.Report_ = Hold.Report_,
                                 .IsOpen_ = isOpen(Hold, T.Now_),
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -102,6 +102,7 @@
     const auto Found = T_.State_.Members_.find(From_);
     if (Found != T_.State_.Members_.end())
       Found->second.Status_ = Status;
+    noteToken(T_.State_, Status.HighestToken_);
   }
   void operator()(const WorkersHeld &M) const { viewWorkers(T_, From_, M); }
   void operator()(const WorkersDropped &M) const { dropWorkers(T_, From_, M); }
@@ -122,6 +123,12 @@
   void operator()(const ConfigNews &M) const { takeConfigNews(T_, M); }
 };
 
+static InstanceStatus statusOf(const FleetInstance &State) {
+  return {.IsReady_ = isReady(State),
+          .IsStopping_ = State.IsStopping_,
+          .HighestToken_ = State.HighestToken_};
+}
+
 static void beat(FleetTurn &T) {
   FleetInstance &State = T.State_;
   if (T.Now_ < State.NextBeat_)
@@ -131,8 +138,7 @@
   State.NextBeat_ =
       T.Now_ + std::clamp(Options.HeartbeatPerInstance_ * Others,
                           Options.LeastHeartbeat_, Options.MostHeartbeat_);
-  tellAll(T, InstanceStatus{.IsReady_ = isReady(State),
-                            .IsStopping_ = State.IsStopping_});
+  tellAll(T, statusOf(State));
 }
 
 // Others gave this instance up while it stood still, and may have taken its
@@ -169,9 +175,7 @@
   State.Members_[Up.Info_.Run_] = {.Info_ = Up.Info_, .HeardAt_ = T.Now_};
   log(T, "instance_up", 0,
       {{"other", Up.Info_.Name_}, {"data_centre", Up.Info_.DataCentre_}});
-  tell(T, Up.Info_.Run_,
-       InstanceStatus{.IsReady_ = isReady(State),
-                      .IsStopping_ = State.IsStopping_});
+  tell(T, Up.Info_.Run_, statusOf(State));
   tellAllHolds(T, Up.Info_.Run_);
 }
 
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -88,6 +88,8 @@
 
   std::map<std::string, WorkerHold> Holds_;
   std::map<std::string, Milliseconds> FencedUntil_;
+  /// The highest fencing token that was made here or heard of.
+  uint64_t HighestToken_ = 0;
   /// When an instance of a data centre that has none any more was last heard.
   std::map<std::string, Milliseconds> CentreHeardAt_;
   Milliseconds NextHoldReview_;
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -13,11 +13,13 @@
 struct InstanceStatus {
   bool IsReady_ = false;
   bool IsStopping_ = false;
+  uint64_t HighestToken_ = 0; ///< Of all fencing tokens that it knows of.
 };
 
 /// \brief Workers whose state at their holder has changed.
 struct WorkersHeld {
   std::vector<HeldWorker> Workers_;
+  uint64_t HighestToken_ = 0; ///< None that the sender has used is above it.
 };
 
 /// \brief Workers that the sender holds no longer.
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -14,6 +14,9 @@
   /// OriginSilence_ it is shorter than the 1,300 ms after which a caller sends
   /// a lost job again.
   Milliseconds Lease_{800};
+  /// Longest lease that a worker grants, whoever asks for it; the platform's
+  /// `hold_max_ms`.
+  Milliseconds MaxLease_{1'000};
   /// Silence of an origin after which leases of workers with runs of it are not
   /// renewed; two heartbeats.
   Milliseconds OriginSilence_{290};
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -3,6 +3,7 @@
 
 #include "marjorambend/src/Fleet/Fleet.h"
 
+#include <algorithm>
 #include <deque>
 #include <string>
 #include <string_view>
@@ -58,6 +59,11 @@
 /// Placing for all; see Placer.cpp.
 /// @{
 void viewWorkers(FleetTurn &T, Incarnation Holder, const WorkersHeld &Held);
+
+/// Tokens that are made from now on are above \p Token.
+inline void noteToken(FleetInstance &State, uint64_t Token) {
+  State.HighestToken_ = std::max(State.HighestToken_, Token);
+}
 void dropWorkers(FleetTurn &T, Incarnation Holder, const WorkersDropped &Held);
 void requestPlaces(FleetTurn &T, Incarnation Origin, PlaceRequest Request);
 void withdrawPlaces(FleetTurn &T, Incarnation Origin, const PlaceWithdraw &Job);
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -18,7 +18,7 @@
 /// renewed.
 bool isRenewable(const FleetTurn &T, const WorkerHold &Hold);
 Milliseconds leaseEnd(const FleetTurn &T, const WorkerHold &Hold);
-/// When a lease that was renewed last at LeaseSentAt_ is over in any case.
+/// When the lease is over in any case, whoever renewed it last.
 Milliseconds leaseSurelyOver(const FleetTurn &T, const WorkerHold &Hold);
 void tellHold(FleetTurn &T, WorkerHold &Hold);
 void tellIfChanged(FleetTurn &T, WorkerHold &Hold);
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -58,9 +58,10 @@
 // On our clock, and late rather than early.
 Milliseconds leaseSurelyOver(const FleetTurn &T, const WorkerHold &Hold) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
-  const int64_t Slack =
-      Options.Lease_.Count_ * Options.ClockSlackPercent_ / 100;
-  return Hold.LeaseSentAt_ + Options.Lease_ + Milliseconds{Slack} +
+  const bool IsFenced = Hold.Phase_ == HoldPhase::Fenced;
+  const Milliseconds Lease = IsFenced ? Options.MaxLease_ : Options.Lease_;
+  const Milliseconds Slack{Lease.Count_ * Options.ClockSlackPercent_ / 100};
+  return (IsFenced ? Hold.FencedAt_ : Hold.LeaseSentAt_) + Lease + Slack +
          Options.RetryPause_;
 }
 
@@ -75,7 +76,8 @@
   Hold.ToldSlowness_ = Hold.Slowness_;
   const WorkersHeld Message{{{.Report_ = Hold.Report_,
                               .IsOpen_ = Hold.WasToldOpen_,
-                              .Slowness_ = Hold.Slowness_}}};
+                              .Slowness_ = Hold.Slowness_}},
+                            T.State_.HighestToken_};
   tellAll(T, Message);
   tell(T, T.State_.Self_.Run_, Message);
 }
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -72,6 +72,7 @@
     indexWorker(State.Placing_, Id, Known);
   }
   State.Placing_.IsDirty_ = true;
+  noteToken(State, Held.HighestToken_);
 }
 
 void dropWorkers(FleetTurn &T, Incarnation Holder,
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -64,6 +64,7 @@
   Milliseconds NextLookAt_;
   uint32_t FailedLooks_ = 0;
   Milliseconds LeaseSentAt_; ///< Of the last order that renewed the lease.
+  Milliseconds FencedAt_;    ///< When another holder's token was noticed.
   bool IsClosing_ = false;   ///< Given up once nothing runs.
   bool IsListed_ = true;     ///< The platform's list has it.
   bool WasToldOpen_ = false;
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -126,6 +126,44 @@
   CHECK(S_.LastLook_.Worker_.Fence_ > Before);
 }
 
+// The clock of its last holder may have been ahead of ours.
+TEST(AWorkerThatIsHeld, TakesATokenAboveAllThatWereHeardOf) {
+  const uint64_t FarAhead = S_.State_.Holds_.at("w").Fence_ + (1ULL << 40U);
+  S_.meet(9);
+  S_.give(InstanceSaid{{9}, InstanceStatus{.HighestToken_ = FarAhead}});
+  S_.pass(100);
+  S_.list({}, {}, 2);
+  CHECK(S_.State_.Holds_.at("w").Fence_ > FarAhead);
+}
+
+TEST(AWorkerThatIsHeld, HasItsTokenToldToAll) {
+  S_.meet(9);
+  S_.pass(100);
+  uint64_t Told = 0;
+  for (const TellInstance &One : only<TellInstance>(S_.list({}, {}, 2))) {
+    if (const auto *Held = std::get_if<WorkersHeld>(&One.Message_))
+      Told = Held->HighestToken_;
+  }
+  LONGS_EQUAL(S_.State_.Holds_.at("w").Fence_, Told);
+  uint64_t Beaten = 0;
+  for (const TellInstance &One : only<TellInstance>(S_.pass(200))) {
+    if (const auto *Status = std::get_if<InstanceStatus>(&One.Message_))
+      Beaten = Status->HighestToken_;
+  }
+  LONGS_EQUAL(Told, Beaten);
+}
+
+// Whoever has fenced it off may have renewed the lease of what runs there.
+TEST(AWorkerThatIsHeld, KeepsRunsForAWholeLeaseOnceItIsFencedOff) {
+  startTask();
+  S_.pass(700);
+  S_.startAnswered(OrderResult::Fenced);
+  expectCount<AnswerJob>(0, S_.pass(1'000));
+  LONGS_EQUAL(1, S_.State_.Holds_.at("w").Runs_.size());
+  S_.pass(200);
+  CHECK_FALSE(S_.State_.Holds_.contains("w"));
+}
+
 TEST(AWorkerThatIsHeld, KeepsARunThatItsNextLifeLists) {
   startTask();
   expectCount<StartRun>(0, S_.list({Run_}, {}, 2));
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -32,6 +32,7 @@
   Options.Name_ = Settings.Name_;
   Options.DataCentre_ = Settings.DataCentre_;
   Options.CpuShare_ = Settings.CpuShare_;
+  Options.Holder_.MaxLease_ = Settings.MaxLease_;
   Options.Holder_.Lease_ = std::min(
       {Options.Holder_.Lease_, Settings.MaxLease_,
        Settings.ResendAfter_ - Options.Holder_.OriginSilence_ - LeaseMargin});
--- a/transport/marjorambend/src/Transport/FleetCodec.cpp
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -51,8 +51,10 @@
                 .Union()};
   }
   FleetBody operator()(const InstanceStatus &M) const {
-    return {fleetwire::Body::Status,
-            fleetwire::CreateStatus(B_, M.IsReady_, M.IsStopping_).Union()};
+    return {
+        fleetwire::Body::Status,
+        fleetwire::CreateStatus(B_, M.IsReady_, M.IsStopping_, M.HighestToken_)
+            .Union()};
   }
   auto worker(const WorkerReport &R, bool IsOpen, double Slowness) const {
     const auto Id = text(R.Id_);
@@ -71,7 +73,7 @@
       Workers.push_back(worker(One.Report_, One.IsOpen_, One.Slowness_));
     const auto All = B_.CreateVector(Workers);
     return {fleetwire::Body::WorkersHeld,
-            fleetwire::CreateWorkersHeld(B_, All).Union()};
+            fleetwire::CreateWorkersHeld(B_, All, M.HighestToken_).Union()};
   }
   FleetBody operator()(const ListNews &M) const {
     std::vector<flatbuffers::Offset<fleetwire::Worker>> Changed;
@@ -245,7 +247,7 @@
 }
 
 static WorkersHeld toHeld(const fleetwire::WorkersHeld &M) {
-  WorkersHeld Given;
+  WorkersHeld Given{.HighestToken_ = M.highest_token()};
   if (M.workers() == nullptr)
     return Given;
   for (const auto *One : *M.workers())
@@ -272,7 +274,9 @@
     return toHello(*Frame.body_as_Hello());
   case fleetwire::Body::Status: {
     const auto &M = *Frame.body_as_Status();
-    return InstanceStatus{M.is_ready(), M.is_stopping()};
+    return InstanceStatus{.IsReady_ = M.is_ready(),
+                          .IsStopping_ = M.is_stopping(),
+                          .HighestToken_ = M.highest_token()};
   }
   case fleetwire::Body::WorkersHeld:
     return toHeld(*Frame.body_as_WorkersHeld());
