Keep fencing tokens near the store's clock, in waves of claims and in contests too

Change: the tokens of one tick share their base, and a lost contest steps up by 32 ms of the clock first.

Ruled out: a higher step only when somebody else is heard (contests are lost before the sessions are up).

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -9,10 +9,11 @@
 
 namespace marjorambend::internal {
 
-// A claim that is fenced off all the same steps up by a second, then two, then
-// four; 32 times, which passes any time since 1970.
-static constexpr uint64_t FenceStep = 1000 * FenceLowBits;
-static constexpr uint32_t MaxFenceDoublings = 32;
+// A claim that is fenced off all the same steps up by 32 ms of the clock, two
+// claims' spreads, then by twice as much each time, so that it does not run far
+// ahead of the clock; 36 times, which passes any time since 1970.
+static constexpr uint64_t FenceStep = 2 * FenceSpread;
+static constexpr uint32_t MaxFenceDoublings = 36;
 
 static uint64_t hashOf(std::string_view Instance, std::string_view Worker) {
   return hashNumber(hashText(Worker, hashText("/", hashText(Instance))), 0);
@@ -22,10 +23,11 @@
 // tokens heard of. That matters even where nobody contests a claim, since the
 // next life of a worker has seen no token, and would take an order to the old
 // one that arrives late. Times of day differ, and jump.
-static uint64_t freshFence(FleetInstance &State) {
-  noteToken(State, State.HighestToken_ + 1 +
-                       uniformBelow(State.Generator_, FenceSpread));
-  return State.HighestToken_;
+static uint64_t freshFence(FleetInstance &State, uint64_t Above = 0) {
+  const uint64_t Token = std::max(State.TokenBase_, Above) + 1 +
+                         uniformBelow(State.Generator_, FenceSpread);
+  State.HighestToken_ = std::max(State.HighestToken_, Token);
+  return Token;
 }
 
 // Rendezvous hashing among the instances of the worker's data centre, or among
@@ -114,8 +116,7 @@
   const HolderOptions &Options = T.State_.Options_.Holder_;
   if (Hold.Phase_ == HoldPhase::Claiming && !Hold.IsClosing_) {
     const uint32_t Doublings = std::min(Hold.FenceTries_++, MaxFenceDoublings);
-    Hold.Fence_ = freshFence(T.State_) + (FenceStep << Doublings);
-    noteToken(T.State_, Hold.Fence_);
+    Hold.Fence_ = freshFence(T.State_, Hold.Fence_ + (FenceStep << Doublings));
     Hold.NextLookAt_ = T.Now_;
     return;
   }
@@ -132,7 +133,7 @@
 }
 
 static void raiseFence(FleetTurn &T, WorkerHold &Hold) {
-  Hold.Fence_ = freshFence(T.State_);
+  Hold.Fence_ = freshFence(T.State_, Hold.Fence_);
 }
 
 // What was learnt of the old life does not hold for the next one. It has seen
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -90,6 +90,9 @@
   /// The highest fencing token that was made here or heard of, or the store's
   /// clock as one.
   uint64_t HighestToken_ = 0;
+  /// What new tokens are above; without those made here since the last tick, so
+  /// that a wave of claims does not run ahead of the clock.
+  uint64_t TokenBase_ = 0;
   /// When an instance of a data centre that has none any more was last heard.
   std::map<std::string, Milliseconds> CentreHeardAt_;
   Milliseconds NextHoldReview_;
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -63,12 +63,13 @@
 /// Fencing tokens are milliseconds of the shared clock with these low bits.
 inline constexpr uint64_t FenceLowBits = 1024;
 /// Spread of tokens above those known, so that two claims rarely get the same;
-/// 16 ms of the clock, so that a wave of claims does not run far ahead of it.
+/// 16 ms of the clock, less than a tick.
 inline constexpr uint64_t FenceSpread = 16 * FenceLowBits;
 
 /// Tokens that are made from now on are above \p Token.
 inline void noteToken(FleetInstance &State, uint64_t Token) {
   State.HighestToken_ = std::max(State.HighestToken_, Token);
+  State.TokenBase_ = std::max(State.TokenBase_, Token);
 }
 void dropWorkers(FleetTurn &T, Incarnation Holder, const WorkersDropped &Held);
 void requestPlaces(FleetTurn &T, Incarnation Origin, PlaceRequest Request);
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -144,6 +144,19 @@
   CHECK(S_.State_.Holds_.at("w").Fence_ >> 10U < 901'000);
 }
 
+// Whoever comes next may know the clock alone.
+TEST(AWorkerThatIsHeld, HasATokenNearTheClockInAWaveOfClaims) {
+  std::vector<WorkerReport> Many;
+  for (int Index = 0; Index < 200; ++Index)
+    Many.push_back(Story::worker("w" + std::to_string(Index)));
+  S_.give(WorkersRead{Many});
+  S_.pass(700);
+  LONGS_EQUAL(200, S_.State_.Holds_.size());
+  for (const auto &[Id, Hold] : S_.State_.Holds_)
+    CHECK(static_cast<int64_t>(Hold.Fence_ >> 10U) <=
+          480'000 + S_.Now_.Count_ + 40);
+}
+
 TEST(AWorkerThatIsHeld, HasItsTokenToldToAll) {
   S_.meet(9);
   S_.pass(100);
