--- a/coordination/marjorambend/src/Fleet/SharedClock.h
+++ b/coordination/marjorambend/src/Fleet/SharedClock.h
@@ -15,8 +15,8 @@
 };
 
 /// How much of an estimate is given up at each answer, so that it follows a
-/// clock that is slower than ours; a thousand times the usual drift at one
-/// answer a second.
+/// clock that is slower than ours: at one answer a second by one part in 1,000,
+/// ten times what clocks of machines differ by.
 inline constexpr Milliseconds SharedClockDecay{1};
 
 /// \brief Takes an answer. Answers come late by different times, which makes
