Give libevhtp a header only once all of it is there

On a full link a request arrives in pieces, and libevhtp's parser repeats a byte of a path that is cut by a read: /abcd1234/ is read as /ab1cd1234/. Ruled out: an older configuration (takeConfig only takes greater versions, the log shows none), the route's lookup. A job's identity could be misread too.

Pipelined requests whose second part arrives while the first waits for its answer are still parsed by libevhtp alone.

--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -17,13 +17,18 @@
 // A body larger than the bound is read to its end and dropped, so that the
 // sender can read the answer, unless it is larger by this factor.
 static constexpr std::size_t DiscardFactor = 8;
+// A header without its end beyond this is left to libevhtp's own bounds.
+static constexpr std::size_t MaxHeldHeader = 16U << 10U;
+static constexpr std::string_view HeaderEnd = "\r\n\r\n";
 
 /// \brief What is known of one connection beyond libevhtp's own state.
 struct HttpServer::Connection {
   Milliseconds Due_;        ///< When it is closed.
   bool IsReceiving_ = true; ///< Part of a request may have arrived.
   bool IsTooLarge_ = false; ///< The body of the request is being dropped.
+  bool IsInBody_ = false;   ///< The header was read, the body not yet.
   std::size_t BodyBytes_ = 0;
+  bufferevent_data_cb Parse_ = nullptr; ///< libevhtp's own.
 };
 
 /// \brief The C functions that libevhtp calls.
@@ -42,6 +47,11 @@
     HttpServer &Server = *serverOf(Argument);
     auto State = std::make_unique<HttpServer::Connection>();
     State->Due_ = monotonicNow() + Server.Options_.RequestTimeout_;
+    bufferevent_event_cb OnEvent = nullptr;
+    bufferevent_data_cb OnWritten = nullptr;
+    void *Owner = nullptr;
+    bufferevent_getcb(Raw->bev, &State->Parse_, &OnWritten, &OnEvent, &Owner);
+    bufferevent_setcb(Raw->bev, onBytes, OnWritten, OnEvent, Owner);
     Server.Connections_[Raw] = std::move(State);
     int On = 1;
     setsockopt(Raw->sock, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
@@ -52,6 +62,34 @@
     return EVHTP_RES_OK;
   }
 
+  // libevhtp's parser mixes up a path that arrives in pieces: it is given a
+  // header only when all of it is there.
+  static void onBytes(bufferevent *Buffer, void *Argument) {
+    auto *Raw = static_cast<evhtp_connection_t *>(Argument);
+    HttpServer &Server = *serverOf(Raw->htp->arg);
+    HttpServer::Connection *State = find(Server, Raw);
+    if (State == nullptr)
+      return;
+    evbuffer *Input = bufferevent_get_input(Buffer);
+    const bool IsHeld =
+        !State->IsInBody_ && evbuffer_get_length(Input) < MaxHeldHeader &&
+        evbuffer_search(Input, HeaderEnd.data(), HeaderEnd.size(), nullptr)
+                .pos < 0;
+    if (!IsHeld) {
+      State->Parse_(Buffer, Argument);
+      return;
+    }
+    noteBegin(Server, *State);
+  }
+
+  static void noteBegin(const HttpServer &Server,
+                        HttpServer::Connection &State) {
+    if (State.IsReceiving_)
+      return;
+    State.IsReceiving_ = true;
+    State.Due_ = monotonicNow() + Server.Options_.RequestTimeout_;
+  }
+
   // libevhtp takes every hook as a function without parameters.
   template <typename Function> static evhtp_hook asHook(Function Call) {
     return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(Call));
@@ -66,10 +104,8 @@
   static evhtp_res onHeadersStart(evhtp_request_t *Request, void *Argument) {
     HttpServer &Server = *serverOf(Argument);
     HttpServer::Connection *State = find(Server, Request->conn);
-    if (State != nullptr && !State->IsReceiving_) {
-      State->IsReceiving_ = true;
-      State->Due_ = monotonicNow() + Server.Options_.RequestTimeout_;
-    }
+    if (State != nullptr)
+      noteBegin(Server, *State);
     return EVHTP_RES_OK;
   }
 
@@ -80,6 +116,7 @@
     if (State == nullptr)
       return EVHTP_RES_OK;
     State->IsTooLarge_ = false;
+    State->IsInBody_ = true;
     State->BodyBytes_ = 0;
     const char *Length =
         evhtp_header_find(Request->headers_in, "Content-Length");
@@ -122,6 +159,7 @@
     HttpServer &Server = *serverOf(Argument);
     if (HttpServer::Connection *State = find(Server, Request->conn)) {
       State->IsReceiving_ = false;
+      State->IsInBody_ = false;
       State->Due_ = monotonicNow() + Server.Options_.IdleTimeout_;
     }
     const uint64_t Token = Server.tokenOf(Request);
@@ -235,6 +273,7 @@
   Connection *State = HttpServerHooks::find(*this, Request->conn);
   if (State != nullptr) {
     State->IsReceiving_ = false;
+    State->IsInBody_ = false;
     State->Due_ = {INT64_MAX};
   }
   if (State != nullptr && State->IsTooLarge_) {
--- a/transport/test/HttpTests.cpp
+++ b/transport/test/HttpTests.cpp
@@ -223,3 +223,24 @@
   Loop_.run();
   STRCMP_EQUAL("second!", (*Answered_)->Body_.c_str());
 }
+
+// A full link delivers a request in pieces of any size.
+TEST(AnHttpListener, ReadsARequestThatArrivesInTwoPieces) {
+  const std::string Whole = "GET /abcd1234/ HTTP/1.1\r\nHost: yelo0.example\r\n"
+                            "Deadline-Ms: 1500\r\n\r\n";
+  const RawConnection Raw(Server_.port());
+  for (std::size_t First = 1; First < Whole.size(); ++First) {
+    Received_.reset();
+    Raw.send(Whole.substr(0, First));
+    const Timer Rest(Loop_, Milliseconds{2}, Timer::Mode::Once,
+                     [&] { Raw.send(Whole.substr(First)); });
+    CHECK_FALSE(runUntilAnswered(Raw).empty());
+    CHECK(Received_.has_value());
+    STRCMP_EQUAL("/abcd1234/", Received_->Path_.c_str());
+    STRCMP_EQUAL("yelo0.example",
+                 std::string(findHeader(Received_->Headers_, "Host")).c_str());
+    STRCMP_EQUAL(
+        "1500",
+        std::string(findHeader(Received_->Headers_, "Deadline-Ms")).c_str());
+  }
+}
