--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -5,6 +5,7 @@
 #include "marjorambend/src/Fleet/StableHash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace marjorambend::internal {
@@ -15,8 +16,14 @@
 static constexpr uint64_t FenceStep = 2 * FenceSpread;
 static constexpr uint32_t MaxFenceDoublings = 36;
 
-static uint64_t hashOf(std::string_view Instance, std::string_view Worker) {
-  return hashNumber(hashText(Worker, hashText("/", hashText(Instance))), 0);
+// Weighted rendezvous hashing: the greatest of w / -log(u) wins with a chance
+// in proportion to its w.
+static double scoreOf(const InstanceInfo &Instance, std::string_view Worker) {
+  const uint64_t Hash =
+      hashNumber(hashText(Worker, hashText("/", hashText(Instance.Name_))), 0);
+  const double Uniform = (static_cast<double>(Hash >> 11U) + 0.5) * 0x1.0p-53;
+  return std::max(1.0, static_cast<double>(Instance.CpuShare_)) /
+         -std::log(Uniform);
 }
 
 // A later claim has the higher token: above the store's clock, and above all
@@ -30,11 +37,11 @@
   return Token;
 }
 
-// Rendezvous hashing among the instances of the worker's data centre, or among
-// all if none is there.
+// Rendezvous hashing among the coordinators of the worker's data centre, or
+// among all if none is there.
 static bool isRightfulHolder(const FleetInstance &State,
                              const WorkerReport &Worker) {
-  if (State.IsStopping_)
+  if (!State.IsCoordinating_)
     return false;
   const InstanceInfo *Best = &State.Self_;
   const auto IsNear = [&Worker](const InstanceInfo &Info) {
@@ -48,7 +55,7 @@
         Best = &Other.Info_;
       continue;
     }
-    if (hashOf(Other.Info_.Name_, Worker.Id_) > hashOf(Best->Name_, Worker.Id_))
+    if (scoreOf(Other.Info_, Worker.Id_) > scoreOf(*Best, Worker.Id_))
       Best = &Other.Info_;
   }
   return Best == &State.Self_;
@@ -104,8 +111,7 @@
                      std::string_view Why) {
   log(T, "worker_dropped", 0, {{"worker", Id}, {"why", std::string(Why)}});
   const WorkersDropped Message{{Id}};
-  tellAll(T, Message);
-  tell(T, T.State_.Self_.Run_, Message);
+  tellCoordinators(T, Message);
   T.State_.FencedUntil_[Id] = T.Now_ + T.State_.Options_.Holder_.FencedPause_;
   T.State_.Holds_.erase(Id);
 }
@@ -312,37 +318,31 @@
   chooseHolds(T);
 }
 
-// Workers of a data centre for each of its instances that take any.
-static double meanHolds(const FleetInstance &State) {
-  std::size_t Instances = 1;
+// This instance's share of its data centre's workers, by processor time.
+static double shareOfWorkers(const FleetInstance &State) {
+  double Own = std::max<uint32_t>(1, State.Self_.CpuShare_);
+  double All = Own;
   for (const auto &[Run, Other] : State.Members_) {
-    const bool IsTaking = Other.Info_.DataCentre_ == State.Self_.DataCentre_ &&
-                          takesWork(Other.Status_);
-    Instances += IsTaking ? 1 : 0;
+    if (Other.Info_.DataCentre_ == State.Self_.DataCentre_ &&
+        takesWork(Other.Status_))
+      All += std::max<uint32_t>(1, Other.Info_.CpuShare_);
   }
   const auto Workers = std::count_if(
       State.Listed_.begin(), State.Listed_.end(), [&State](const auto &Entry) {
         return Entry.second.DataCentre_ == State.Self_.DataCentre_;
       });
-  return static_cast<double>(Workers) / static_cast<double>(Instances);
+  return static_cast<double>(Workers) * Own / All;
 }
 
-// Load pattern: an instance that was slow or cut off took the workers of all
-// that it did not hear, and is too weak for them ever after.
-static void handOverExcess(FleetTurn &T) {
+// Closes workers until \p AtOnce are closed, of those that are not rightfully
+// held here.
+static void handOver(FleetTurn &T, std::size_t AtOnce) {
   FleetInstance &State = T.State_;
-  const HolderOptions &Options = State.Options_.Holder_;
-  const auto Most =
-      static_cast<std::size_t>(meanHolds(State) * Options.MostOfMean_) +
-      Options.FewMore_;
-  if (State.Holds_.size() <= Most)
-    return;
-  std::size_t Closing = 0;
-  for (const auto &[Id, Hold] : State.Holds_)
-    Closing += Hold.IsClosing_ ? 1 : 0;
-  const std::size_t Excess = State.Holds_.size() - Most;
+  auto Closing = static_cast<std::size_t>(
+      std::count_if(State.Holds_.begin(), State.Holds_.end(),
+                    [](const auto &Entry) { return Entry.second.IsClosing_; }));
   for (auto &[Id, Hold] : State.Holds_) {
-    if (Closing >= std::min(Options.MostHandedOver_, Excess))
+    if (Closing >= AtOnce)
       return;
     if (Hold.IsClosing_ || isRightfulHolder(State, Hold.Report_))
       continue;
@@ -352,6 +352,24 @@
   }
 }
 
+// Load pattern: an instance that was slow or cut off took the workers of all
+// that it did not hear, and is too weak for them ever after.
+static void handOverExcess(FleetTurn &T) {
+  const FleetInstance &State = T.State_;
+  const HolderOptions &Options = State.Options_.Holder_;
+  const auto Most =
+      static_cast<std::size_t>(shareOfWorkers(State) * Options.MostOfMean_) +
+      Options.FewMore_;
+  if (State.Holds_.size() > Most)
+    handOver(T, std::min(Options.MostHandedOver_, State.Holds_.size() - Most));
+}
+
+// Whoever coordinates no more hands all over, a part at a time.
+static void handOverAll(FleetTurn &T) {
+  handOver(T, std::max(T.State_.Options_.Holder_.MostHandedOver_,
+                       T.State_.Holds_.size() / 4));
+}
+
 // Workers stay where they are unless their holder is stopping, far away, or has
 // too many.
 void chooseHolds(FleetTurn &T) {
@@ -364,7 +382,11 @@
     }
     return;
   }
-  const bool IsSettled = State.HasTicked_ && T.Now_ - State.StartedAt_ >=
+  if (!State.IsCoordinating_) {
+    handOverAll(T);
+    return;
+  }
+  const bool IsSettled = State.HasTicked_ && T.Now_ - State.CoordinatesSince_ >=
                                                  State.Options_.Holder_.Settle_;
   if (!IsSettled)
     return;
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -74,15 +74,22 @@
 namespace internal {
 
 void tell(FleetTurn &T, Incarnation To, FleetMessage Message) {
-  if (To == T.State_.Self_.Run_)
+  if (To == T.State_.Self_.Run_) {
     T.ToSelf_.push_back(std::move(Message));
-  else
-    T.Out_.push_back(TellInstance{To, std::move(Message)});
+    return;
+  }
+  const auto Found = T.State_.Members_.find(To);
+  if (Found != T.State_.Members_.end())
+    Found->second.SaidAt_ = T.Now_;
+  T.Out_.push_back(TellInstance{To, std::move(Message)});
 }
 
-void tellAll(FleetTurn &T, const FleetMessage &Message) {
-  for (const auto &[Run, Other] : T.State_.Members_)
-    T.Out_.push_back(TellInstance{Run, Message});
+void tellCoordinators(FleetTurn &T, const FleetMessage &Message) {
+  for (const auto &[Run, Other] : T.State_.Members_) {
+    if (Other.Status_.IsCoordinating_)
+      tell(T, Run, Message);
+  }
+  tell(T, T.State_.Self_.Run_, Message);
 }
 
 void log(FleetTurn &T, std::string_view What, uint64_t Job,
@@ -100,9 +107,14 @@
 
   void operator()(const InstanceStatus &Status) const {
     const auto Found = T_.State_.Members_.find(From_);
-    if (Found != T_.State_.Members_.end())
-      Found->second.Status_ = Status;
+    if (Found == T_.State_.Members_.end())
+      return;
+    const bool IsNew =
+        Status.IsCoordinating_ && !Found->second.Status_.IsCoordinating_;
+    Found->second.Status_ = Status;
     noteToken(T_.State_, Status.HighestToken_);
+    if (IsNew)
+      tellAllHolds(T_, From_);
   }
   void operator()(const WorkersHeld &M) const { viewWorkers(T_, From_, M); }
   void operator()(const WorkersDropped &M) const { dropWorkers(T_, From_, M); }
@@ -116,31 +128,18 @@
   void operator()(const PlaceAdopt &M) const { adoptPlace(T_, From_, M); }
   void operator()(const Placed &M) const { takePlacements(T_, From_, M); }
   void operator()(const PlaceRefused &M) const { takeRefusal(T_, M); }
-  void operator()(const StartOrder &M) const { startRun(T_, From_, M); }
+  void operator()(const StartOrder &M) const { startRuns(T_, From_, M); }
   void operator()(const StopOrder &M) const { stopRun(T_, M); }
   void operator()(const RunEnded &M) const { takeRunEnd(T_, M); }
   void operator()(const ListNews &M) const { takeListNews(T_, M); }
   void operator()(const ConfigNews &M) const { takeConfigNews(T_, M); }
+  void operator()(const ConfigFreshness &M) const {
+    takeConfigFreshness(T_, M);
+  }
+  void operator()(const RosterNews &M) const { takeRosterNews(T_, M); }
+  void operator()(const RosterQuery &) const { answerRosterQuery(T_, From_); }
 };
 
-static InstanceStatus statusOf(const FleetInstance &State) {
-  return {.IsReady_ = isReady(State),
-          .IsStopping_ = State.IsStopping_,
-          .HighestToken_ = State.HighestToken_};
-}
-
-static void beat(FleetTurn &T) {
-  FleetInstance &State = T.State_;
-  if (T.Now_ < State.NextBeat_)
-    return;
-  const FleetOptions &Options = State.Options_;
-  const auto Others = static_cast<int64_t>(State.Members_.size());
-  State.NextBeat_ =
-      T.Now_ + std::clamp(Options.HeartbeatPerInstance_ * Others,
-                          Options.LeastHeartbeat_, Options.MostHeartbeat_);
-  tellAll(T, statusOf(State));
-}
-
 // Others gave this instance up while it stood still, and may have taken its
 // workers and jobs. Whatever event comes first must not act on what was
 // believed before.
@@ -160,13 +159,19 @@
   FleetInstance &State = T.State_;
   if (!State.HasTicked_)
     State.StartedAt_ = T.Now_;
+  // What has arrived since the last tick may not be read yet.
+  const bool IsLate =
+      State.HasTicked_ && T.Now_ - State.LastTick_ > State.Options_.LateTick_;
   State.HasTicked_ = true;
   State.LastTick_ = T.Now_;
   noteToken(State,
             static_cast<uint64_t>(Given.SharedClock_.Count_) * FenceLowBits);
   State.TokenBase_ = State.HighestToken_;
   beat(T);
-  choosePlacer(T);
+  if (T.Now_ >= State.NextRosterReview_)
+    chooseCoordinators(T);
+  if (!IsLate)
+    choosePlacer(T);
   tickHolds(T);
   expireJobs(T);
   State.Placing_.IsDirty_ = !State.Placing_.Waiting_.empty();
@@ -175,10 +180,12 @@
 static void joinInstance(FleetTurn &T, const InstanceUp &Up) {
   FleetInstance &State = T.State_;
   State.Members_[Up.Info_.Run_] = {.Info_ = Up.Info_, .HeardAt_ = T.Now_};
+  addToRoster(State.Roster_, Up.Info_);
   log(T, "instance_up", 0,
       {{"other", Up.Info_.Name_}, {"data_centre", Up.Info_.DataCentre_}});
-  tell(T, Up.Info_.Run_, statusOf(State));
-  tellAllHolds(T, Up.Info_.Run_);
+  tellStatus(T, Up.Info_.Run_);
+  if (!State.Roster_.IsRead_)
+    tell(T, Up.Info_.Run_, RosterQuery{});
 }
 
 static void loseInstance(FleetTurn &T, Incarnation Run) {
@@ -193,6 +200,8 @@
   Heard = std::max(Heard, Found->second.HeardAt_);
   const std::string Name = Found->second.Info_.Name_;
   State.Members_.erase(Found);
+  noteLost(State.Roster_, Name);
+  chooseCoordinators(T);
   forgetInstance(T, Run);
   stopRunsOf(T, Run);
   loseHolder(T, Run, Name);
@@ -213,6 +222,7 @@
   void operator()(const WorkersUnknown &) const {
     T_.State_.IsListFresh_ = false;
   }
+  void operator()(const InstancesRead &E) const { takeInstances(T_, E); }
   void operator()(JobSubmission &E) const { submitJob(T_, std::move(E)); }
   void operator()(const JobAbandoned &E) const { abandonJob(T_, E.Token_); }
   void operator()(const JobCancel &E) const { cancelJob(T_, E.Id_); }
@@ -231,10 +241,10 @@
   void operator()(const FleetStop &) const {
     T_.State_.IsStopping_ = true;
     T_.State_.StoppingSince_ = T_.Now_;
-    T_.State_.NextBeat_ = T_.Now_;
     log(T_, "stopping", 0,
         {{"jobs", std::to_string(T_.State_.Jobs_.size())},
          {"workers", std::to_string(T_.State_.Holds_.size())}});
+    chooseCoordinators(T_);
     beat(T_);
     choosePlacer(T_);
     chooseHolds(T_);
@@ -281,7 +291,14 @@
 }
 
 bool isReady(const FleetInstance &State) {
-  return State.Config_.Version_ != 0 && State.HasList_ && !State.IsStopping_;
+  if (State.Config_.Version_ == 0 || State.IsStopping_)
+    return false;
+  if (State.IsCoordinating_)
+    return State.HasList_;
+  return std::any_of(State.Members_.begin(), State.Members_.end(),
+                     [](const auto &Entry) {
+                       return internal::takesWork(Entry.second.Status_);
+                     });
 }
 
 bool isIdle(const FleetInstance &State) {
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -6,6 +6,7 @@
 #include "marjorambend/src/Fleet/FleetOptions.h"
 #include "marjorambend/src/Fleet/OriginJob.h"
 #include "marjorambend/src/Fleet/PlacerState.h"
+#include "marjorambend/src/Fleet/Roster.h"
 #include "marjorambend/src/Fleet/WorkerHold.h"
 #include "marjorambend/src/Support/Counters.h"
 #include "marjorambend/src/Support/Histogram.h"
@@ -14,6 +15,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -25,6 +27,10 @@
   InstanceInfo Info_;
   InstanceStatus Status_;
   Milliseconds HeardAt_;
+  Milliseconds SaidAt_; ///< When it was last told anything.
+  Milliseconds BeatAt_; ///< When it was last told this instance's status.
+  /// Since when work is shared with it, if it is. \sa sharesWork
+  std::optional<Milliseconds> SharesSince_;
 };
 
 /// \brief Where the time of jobs goes.
@@ -60,7 +66,7 @@
   Milliseconds StartedAt_;
   Milliseconds LastTick_;
   Milliseconds PauseSettledAt_; ///< Until then submissions may be stale.
-  Milliseconds NextBeat_;
+  InstanceStatus ToldStatus_;   ///< What the others know.
   bool IsStopping_ = false;
   Milliseconds StoppingSince_;
 
@@ -75,6 +81,11 @@
   Milliseconds ConfigSeenAt_;        ///< When this instance last did.
 
   std::map<Incarnation, FleetMember> Members_;
+  Roster Roster_;
+  std::set<LinkAddress> Linked_; ///< Sessions that were asked for.
+  Milliseconds NextRosterReview_;
+  bool IsCoordinating_ = false;
+  Milliseconds CoordinatesSince_; ///< When that changed.
   /// Workers that other instances hold.
   std::map<std::string, Incarnation> HeldByOthers_;
   Incarnation Placer_; ///< Who places our tasks.
@@ -112,6 +123,15 @@
 /// \brief Whether nothing is left that a planned stop has to wait for.
 bool isIdle(const FleetInstance &State);
 
+/// \brief Whether this instance takes workers and may place and read for
+/// others.
+bool isCoordinating(const FleetInstance &State);
+
+/// \brief Since when this instance and \p Run share work, so that each has to
+/// hear the other often; nothing if they do not.
+std::optional<Milliseconds> sharedSince(const FleetInstance &State,
+                                        Incarnation Run);
+
 /// \brief Whether this instance reads the platform's list for its data centre.
 bool isReader(const FleetInstance &State, Milliseconds Now);
 
--- a/coordination/marjorambend/src/Fleet/FleetActions.h
+++ b/coordination/marjorambend/src/Fleet/FleetActions.h
@@ -2,6 +2,7 @@
 #define MARJORAMBEND_FLEET_FLEETACTIONS_H
 
 #include "marjorambend/src/Fleet/FleetMessages.h"
+#include "marjorambend/src/Fleet/Roster.h"
 
 #include <cstdint>
 #include <string>
@@ -79,6 +80,12 @@
   std::string Text_;
 };
 
+/// \brief Keep sessions with the instances at these addresses; others may
+/// remain.
+struct LinkInstances {
+  std::set<LinkAddress> Addresses_;
+};
+
 /// \brief One field of a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
@@ -91,8 +98,9 @@
 };
 
 /// \brief Everything that an instance of the fleet can want done.
-using FleetAction = std::variant<AnswerJob, StartRun, StopRun, LookAtWorker,
-                                 TellInstance, DecodeConfigText, LogDecision>;
+using FleetAction =
+    std::variant<AnswerJob, StartRun, StopRun, LookAtWorker, TellInstance,
+                 DecodeConfigText, LinkInstances, LogDecision>;
 
 /// \brief Actions in the order in which they are to be done.
 using FleetActions = std::vector<FleetAction>;
--- a/coordination/marjorambend/src/Fleet/FleetEvents.h
+++ b/coordination/marjorambend/src/Fleet/FleetEvents.h
@@ -34,6 +34,11 @@
 /// \brief The platform's list could not be read.
 struct WorkersUnknown {};
 
+/// \brief The store's list of instances was read.
+struct InstancesRead {
+  std::vector<InstanceInfo> Instances_;
+};
+
 /// \brief The caller of a job has closed its connection.
 struct JobAbandoned {
   uint64_t Token_ = 0;
@@ -126,9 +131,10 @@
 /// \brief Everything that can happen to an instance of the fleet.
 using FleetEvent =
     std::variant<FleetTick, ConfigRead, ConfigConfirmed, WorkersRead,
-                 WorkersUnknown, JobSubmission, JobAbandoned, JobCancel,
-                 InstanceUp, InstanceDown, InstanceSaid, StartAnswered,
-                 StopAnswered, WorkerListed, FleetStop, FleetStopForced>;
+                 WorkersUnknown, InstancesRead, JobSubmission, JobAbandoned,
+                 JobCancel, InstanceUp, InstanceDown, InstanceSaid,
+                 StartAnswered, StopAnswered, WorkerListed, FleetStop,
+                 FleetStopForced>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -13,6 +13,8 @@
 struct InstanceStatus {
   bool IsReady_ = false;
   bool IsStopping_ = false;
+  /// It takes workers, and may place and read for others.
+  bool IsCoordinating_ = false;
   uint64_t HighestToken_ = 0; ///< Of all fencing tokens that it knows of.
 };
 
@@ -85,14 +87,19 @@
   Room Needs_;
 };
 
-/// \brief Asks the holder of a worker to start a run.
-struct StartOrder {
-  uint64_t Job_ = 0; ///< Number of the job at its origin.
+/// \brief A run that is to start on a worker.
+struct OrderedRun {
   RunId Run_;
   std::string Worker_;
-  Room Needs_;
+};
+
+/// \brief Asks the holder of some workers to start runs of one job there.
+struct StartOrder {
+  uint64_t Job_ = 0; ///< Number of the job at its origin.
+  Room Needs_;       ///< Of each run.
   Milliseconds Estimate_;
   std::string Spec_;
+  std::vector<OrderedRun> Runs_;
 };
 
 /// \brief Asks the holder of a worker to stop a run.
@@ -114,11 +121,23 @@
 struct ListNews {
   std::vector<WorkerReport> Changed_; ///< New ones too.
   std::vector<std::string> Removed_;
-  uint64_t Fingerprint_ = 0;   ///< Of the whole list.
-  Milliseconds ConfigAge_;     ///< Since the reader last followed the store.
-  uint64_t ConfigVersion_ = 0; ///< What the reader has in force.
+  uint64_t Fingerprint_ = 0; ///< Of the whole list.
+};
+
+/// \brief How recent the configuration of a data centre's reader is.
+struct ConfigFreshness {
+  Milliseconds Age_;     ///< Since the reader last followed the store.
+  uint64_t Version_ = 0; ///< What the reader has in force.
 };
 
+/// \brief All instances that the sender knows of.
+struct RosterNews {
+  std::vector<InstanceInfo> Instances_;
+};
+
+/// \brief Asks another instance which instances it knows of.
+struct RosterQuery {};
+
 /// \brief A newer configuration, as the platform's store has it.
 struct ConfigNews {
   uint64_t Version_ = 0;
@@ -129,7 +148,8 @@
 using FleetMessage =
     std::variant<InstanceStatus, WorkersHeld, WorkersDropped, PlaceRequest,
                  PlaceWithdraw, PlaceRelease, PlaceAdopt, Placed, PlaceRefused,
-                 StartOrder, StopOrder, RunEnded, ListNews, ConfigNews>;
+                 StartOrder, StopOrder, RunEnded, ListNews, ConfigNews,
+                 ConfigFreshness, RosterNews, RosterQuery>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -61,6 +61,8 @@
   Text += renderGauge("workers_held", State.Holds_.size());
   Text += renderGauge("workers_viewed", State.Placing_.Workers_.size());
   Text += renderGauge("instances_linked", State.Members_.size());
+  Text += renderGauge("instances_known", State.Roster_.Ranked_.size());
+  Text += renderGauge("is_coordinating", State.IsCoordinating_ ? 1 : 0);
   Text += renderGauge("configuration_version", State.Config_.Version_);
   Text += internal::renderAge("list_age_milliseconds", State.ListHeardAt_,
                               State.ListSeenAt_, Now);
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -54,8 +54,8 @@
   double LearningRate_ = 0.2;
   /// Relative change of the slowness that is worth a message.
   double TellChange_ = 0.15;
-  /// Time after the start in which workers are left to others; instances of one
-  /// deployment start within 300 ms of each other.
+  /// Time after an instance begins to coordinate in which workers are left to
+  /// others; instances of one deployment start within 300 ms of each other.
   Milliseconds Settle_{500};
   /// Silence of all instances of another data centre after which its workers
   /// are claimed from here; longer than the cuts that the users expect.
@@ -95,16 +95,42 @@
   Milliseconds NoWorkersRetryAfter_{800};
 };
 
+/// \brief Parameters of the choice of coordinators.
+struct RosterOptions {
+  /// Coordinators of each data centre at least; two of them may be lost at
+  /// once.
+  std::size_t Least_ = 3;
+  /// And at most; each keeps a session with every instance.
+  std::size_t Most_ = 6;
+  /// Share of the strongest instance's processor time from which another one
+  /// is about as strong.
+  double AboutAsStrong_ = 0.8;
+  /// Time within which an instance that was not reached yet still counts;
+  /// instances start within 300 ms of each other.
+  Milliseconds ReachWithin_{1'000};
+  /// Time for which an instance goes on that coordinates in place of another;
+  /// longer than a restart takes.
+  Milliseconds StandIn_{5'000};
+};
+
 /// \brief Parameters of one instance of the fleet.
 struct FleetOptions {
   std::string Name_ = "instance";
   std::string DataCentre_ = "data-centre";
   uint32_t CpuShare_ = 1'000; ///< Thousandths of a core.
-  /// Interval of heartbeats to other instances: grows with their number, so
-  /// that control stays under 1.1% of a core, between two bounds.
+  /// Interval of heartbeats to instances with which work is shared: grows with
+  /// the number of coordinators, between two bounds.
   Milliseconds LeastHeartbeat_{100};
   Milliseconds MostHeartbeat_{140};
   Milliseconds HeartbeatPerInstance_{4};
+  /// The same where no work is shared; SessionLinkOptions::IdleSilence_ is two
+  /// and a half of it.
+  Milliseconds IdleHeartbeat_{1'000};
+  /// Silence after which such an instance is not chosen as placer.
+  Milliseconds IdleSilence_{2'300};
+  /// Gap between two ticks from which silence is not judged: what has arrived
+  /// meanwhile is not read yet.
+  Milliseconds LateTick_{120};
   /// Silence after which another instance places no tasks of ours; two of the
   /// longest heartbeats.
   Milliseconds PlacerSilence_{300};
@@ -116,6 +142,8 @@
   Milliseconds ConfigNewsAge_{1'200};
   /// Interval at which the choice of held workers is reviewed.
   Milliseconds HoldReview_{100};
+  /// Interval at which coordinators are chosen anew.
+  Milliseconds RosterReview_{100};
   /// Time after a pause in which submissions are refused: they may have waited
   /// in the socket since long before, and their callers may be gone.
   Milliseconds PauseSettle_{100};
@@ -130,6 +158,7 @@
   Milliseconds ListSettle_{2'500};
   HolderOptions Holder_;
   PlacerOptions Placer_;
+  RosterOptions Roster_;
 };
 
 } // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -35,7 +35,7 @@
 
 /// Workers that are held here; see Holder.cpp and Claims.cpp.
 /// @{
-void startRun(FleetTurn &T, Incarnation Origin, const StartOrder &Order);
+void startRuns(FleetTurn &T, Incarnation Origin, const StartOrder &Order);
 void stopRun(FleetTurn &T, const StopOrder &Order);
 void takeStartAnswer(FleetTurn &T, const StartAnswered &Answer);
 void takeStopAnswer(FleetTurn &T, const StopAnswered &Answer);
@@ -52,6 +52,7 @@
 void takeConfig(FleetTurn &T, ConfigRead Read);
 void takeListNews(FleetTurn &T, const ListNews &News);
 void takeConfigNews(FleetTurn &T, const ConfigNews &News);
+void takeConfigFreshness(FleetTurn &T, const ConfigFreshness &Given);
 /// Takes what this instance has read itself, and tells the data centre.
 void takeRead(FleetTurn &T, const WorkersRead &Read);
 /// @}
@@ -80,21 +81,31 @@
 void placeTasks(FleetTurn &T);
 /// @}
 
-/// \brief Whether \p A rather than \p B places or reads for others: the one
-/// with more processor time, then by name.
-bool isPreferred(const InstanceInfo &A, const InstanceInfo &B);
-
 /// \brief Whether an instance is to hold workers and to place or read for
 /// others.
 inline bool takesWork(const InstanceStatus &Status) {
-  return Status.IsReady_ && !Status.IsStopping_;
+  return Status.IsReady_ && !Status.IsStopping_ && Status.IsCoordinating_;
 }
 
+/// Sessions and heartbeats; see Heartbeats.cpp.
+/// @{
+/// Tells this instance's status where it is due.
+void beat(FleetTurn &T);
+void tellStatus(FleetTurn &T, Incarnation To);
+/// Whether \p Other was heard as lately as it has to be.
+bool isHeard(const FleetInstance &State, const FleetMember &Other,
+             Milliseconds Now);
+void chooseCoordinators(FleetTurn &T);
+void takeInstances(FleetTurn &T, const InstancesRead &Read);
+void takeRosterNews(FleetTurn &T, const RosterNews &News);
+void answerRosterQuery(FleetTurn &T, Incarnation To);
+/// @}
+
 /// \brief Sends a message to an instance, which may be this one.
 void tell(FleetTurn &T, Incarnation To, FleetMessage Message);
 
-/// \brief Sends a message to all other instances.
-void tellAll(FleetTurn &T, const FleetMessage &Message);
+/// \brief Sends a message to all coordinators, this one included if it is one.
+void tellCoordinators(FleetTurn &T, const FleetMessage &Message);
 
 /// \brief Adds a log line.
 void log(FleetTurn &T, std::string_view What, uint64_t Job,
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/Heartbeats.cpp
@@ -0,0 +1,187 @@
+/// \file
+/// \brief Whom this instance keeps sessions with, and how often it speaks up.
+
+#include "marjorambend/src/Fleet/FleetStep.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace marjorambend::internal {
+
+static bool hasChanged(const InstanceStatus &A, const InstanceStatus &B) {
+  return A.IsReady_ != B.IsReady_ || A.IsStopping_ != B.IsStopping_ ||
+         A.IsCoordinating_ != B.IsCoordinating_;
+}
+
+static InstanceStatus statusOf(const FleetInstance &State) {
+  return {.IsReady_ = isReady(State),
+          .IsStopping_ = State.IsStopping_,
+          .IsCoordinating_ = State.IsCoordinating_,
+          .HighestToken_ = State.HighestToken_};
+}
+
+void tellStatus(FleetTurn &T, Incarnation To) {
+  tell(T, To, statusOf(T.State_));
+  const auto Found = T.State_.Members_.find(To);
+  if (Found != T.State_.Members_.end())
+    Found->second.BeatAt_ = T.Now_;
+}
+
+// Those whose silence has to be noticed soon: who runs tasks of ours, whose
+// tasks run here, who waits for a place here, or places for us; and the
+// coordinators among themselves, whose tokens and workers must not be missed.
+static std::set<Incarnation> sharers(const FleetInstance &State) {
+  std::set<Incarnation> Sharing;
+  for (const auto &[Number, Job] : State.Jobs_) {
+    for (const OriginTask &Task : Job.Tasks_) {
+      if (Task.Phase_ == OriginTaskPhase::Waiting)
+        Sharing.insert(Job.Placer_);
+      if (Task.Phase_ == OriginTaskPhase::Ordered) {
+        Sharing.insert(Task.Holder_);
+        Sharing.insert(Task.Placer_);
+      }
+    }
+  }
+  for (const auto &[Id, Hold] : State.Holds_) {
+    for (const auto &[Run, Held] : Hold.Runs_)
+      Sharing.insert(Held.Origin_);
+  }
+  for (const auto &[Key, Job] : State.Placing_.Jobs_)
+    Sharing.insert(Key.first);
+  return Sharing;
+}
+
+static void noteSharers(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  const std::set<Incarnation> Sharing = sharers(State);
+  for (auto &[Run, Other] : State.Members_) {
+    const bool IsAmongCoordinators =
+        State.IsCoordinating_ && Other.Status_.IsCoordinating_;
+    if (!IsAmongCoordinators && !Sharing.contains(Run))
+      Other.SharesSince_.reset();
+    else if (!Other.SharesSince_)
+      Other.SharesSince_ = T.Now_;
+  }
+}
+
+void beat(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  noteSharers(T);
+  const FleetOptions &Options = State.Options_;
+  const InstanceStatus Now = statusOf(State);
+  const bool IsNews = hasChanged(Now, State.ToldStatus_);
+  State.ToldStatus_ = Now;
+  const auto Sharing = std::count_if(
+      State.Members_.begin(), State.Members_.end(),
+      [](const auto &Entry) { return Entry.second.SharesSince_.has_value(); });
+  const Milliseconds Often =
+      std::clamp(Options.HeartbeatPerInstance_ * Sharing,
+                 Options.LeastHeartbeat_, Options.MostHeartbeat_);
+  for (const auto &[Run, Other] : State.Members_) {
+    // Any message says that this instance is there. Coordinators need the
+    // newest token as well.
+    const bool IsAmongCoordinators =
+        State.IsCoordinating_ && Other.Status_.IsCoordinating_;
+    const Milliseconds Since = IsAmongCoordinators
+                                   ? Other.BeatAt_
+                                   : std::max(Other.BeatAt_, Other.SaidAt_);
+    const bool IsDue = Other.SharesSince_
+                           ? T.Now_ - Since >= Often
+                           : T.Now_ - Other.BeatAt_ >= Options.IdleHeartbeat_;
+    if (IsNews || IsDue)
+      tellStatus(T, Run);
+  }
+}
+
+bool isHeard(const FleetInstance &State, const FleetMember &Other,
+             Milliseconds Now) {
+  const FleetOptions &Options = State.Options_;
+  if (!Other.SharesSince_)
+    return Now - Other.HeardAt_ <= Options.IdleSilence_;
+  return Now - std::max(Other.HeardAt_, *Other.SharesSince_) <=
+         Options.PlacerSilence_;
+}
+
+static void linkWanted(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  if (State.Roster_.Wanted_ == State.Linked_)
+    return;
+  State.Linked_ = State.Roster_.Wanted_;
+  T.Out_.push_back(LinkInstances{State.Linked_});
+}
+
+void chooseCoordinators(FleetTurn &T) {
+  FleetInstance &State = T.State_;
+  State.NextRosterReview_ = T.Now_ + State.Options_.RosterReview_;
+  if (!State.Roster_.IsRead_)
+    return;
+  std::map<std::string_view, const FleetMember *> ByName;
+  for (const auto &[Run, Other] : State.Members_)
+    ByName[Other.Info_.Name_] = &Other;
+  reviewRoster(State.Roster_, State.Options_.Roster_, State.Self_, T.Now_,
+               [&ByName](const InstanceInfo &Info) {
+                 const auto Found = ByName.find(Info.Name_);
+                 if (Found == ByName.end())
+                   return Presence::Absent;
+                 return Found->second->Status_.IsStopping_ ? Presence::Leaving
+                                                           : Presence::Present;
+               });
+  linkWanted(T);
+  const bool IsCoordinating = State.Roster_.IsChosen_ && !State.IsStopping_;
+  if (IsCoordinating == State.IsCoordinating_)
+    return;
+  State.IsCoordinating_ = IsCoordinating;
+  State.CoordinatesSince_ = T.Now_;
+  log(T, "coordinating", 0,
+      {{"is_coordinating", IsCoordinating ? "true" : "false"},
+       {"instances", std::to_string(State.Roster_.Ranked_.size())},
+       {"linked", std::to_string(State.Members_.size())}});
+  beat(T);
+}
+
+void takeInstances(FleetTurn &T, const InstancesRead &Read) {
+  FleetInstance &State = T.State_;
+  setRoster(State.Roster_, Read.Instances_, State.Self_);
+  State.Roster_.IsRead_ = true;
+  // Sessions tell of instances that the list may lack.
+  for (const auto &[Run, Other] : State.Members_)
+    addToRoster(State.Roster_, Other.Info_);
+  chooseCoordinators(T);
+}
+
+void takeRosterNews(FleetTurn &T, const RosterNews &News) {
+  for (const InstanceInfo &Info : News.Instances_) {
+    if (Info.Name_ != T.State_.Self_.Name_)
+      addToRoster(T.State_.Roster_, Info);
+  }
+  addToRoster(T.State_.Roster_, T.State_.Self_);
+  T.State_.Roster_.IsRead_ = true;
+  chooseCoordinators(T);
+}
+
+void answerRosterQuery(FleetTurn &T, Incarnation To) {
+  if (!T.State_.Roster_.IsRead_)
+    return;
+  RosterNews News;
+  for (const RosterEntry &One : T.State_.Roster_.Ranked_)
+    News.Instances_.push_back(One.Info_);
+  tell(T, To, std::move(News));
+}
+
+} // namespace marjorambend::internal
+
+namespace marjorambend {
+
+bool isCoordinating(const FleetInstance &State) {
+  return State.IsCoordinating_;
+}
+
+std::optional<Milliseconds> sharedSince(const FleetInstance &State,
+                                        Incarnation Run) {
+  const auto Found = State.Members_.find(Run);
+  return Found == State.Members_.end() ? std::nullopt
+                                       : Found->second.SharesSince_;
+}
+
+} // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -78,8 +78,7 @@
                               .IsOpen_ = Hold.WasToldOpen_,
                               .Slowness_ = Hold.Slowness_}},
                             T.State_.HighestToken_};
-  tellAll(T, Message);
-  tell(T, T.State_.Self_.Run_, Message);
+  tellCoordinators(T, Message);
 }
 
 void tellIfChanged(FleetTurn &T, WorkerHold &Hold) {
@@ -188,17 +187,17 @@
   });
 }
 
-static void refuseStart(FleetTurn &T, Incarnation Origin,
-                        const StartOrder &Order, std::string_view Why) {
+static void refuseStart(FleetTurn &T, Incarnation Origin, uint64_t Job,
+                        const OrderedRun &Wanted, std::string_view Why) {
   increment(T.State_.Counters_, Counter::StartsRefused);
-  log(T, "start_refused", Order.Run_.Job_,
-      {{"task", std::to_string(Order.Run_.Task_)},
-       {"worker", Order.Worker_},
+  log(T, "start_refused", Wanted.Run_.Job_,
+      {{"task", std::to_string(Wanted.Run_.Task_)},
+       {"worker", Wanted.Worker_},
        {"why", std::string(Why)}});
   tell(T, Origin,
-       RunEnded{.Job_ = Order.Job_,
-                .Run_ = Order.Run_,
-                .Worker_ = Order.Worker_,
+       RunEnded{.Job_ = Job,
+                .Run_ = Wanted.Run_,
+                .Worker_ = Wanted.Worker_,
                 .End_ = RunEnd::NotStarted});
 }
 
@@ -211,53 +210,59 @@
                             .LeaseEnd_ = leaseEnd(T, Hold)});
 }
 
-void startRun(FleetTurn &T, Incarnation Origin, const StartOrder &Order) {
-  WorkerHold *Found = findHold(T.State_, Order.Worker_);
+static void startRun(FleetTurn &T, Incarnation Origin, const StartOrder &Order,
+                     const OrderedRun &Wanted) {
+  WorkerHold *Found = findHold(T.State_, Wanted.Worker_);
   if (Found == nullptr) {
-    refuseStart(T, Origin, Order, "the worker is not held here");
+    refuseStart(T, Origin, Order.Job_, Wanted, "the worker is not held here");
     return;
   }
   if (T.Now_ < T.State_.PauseSettledAt_) {
-    refuseStart(T, Origin, Order, "just after a pause");
+    refuseStart(T, Origin, Order.Job_, Wanted, "just after a pause");
     return;
   }
   WorkerHold &Hold = *Found;
   if (!isOpen(Hold, T.Now_) || !Hold.ClockOffset_ || !isRenewable(T, Hold)) {
-    refuseStart(T, Origin, Order, "the worker takes no new runs");
+    refuseStart(T, Origin, Order.Job_, Wanted, "the worker takes no new runs");
     return;
   }
   if (!fits(Order.Needs_, Hold.Report_.Capacity_ - Hold.Used_)) {
-    refuseStart(T, Origin, Order, "no room");
+    refuseStart(T, Origin, Order.Job_, Wanted, "no room");
     return;
   }
   const auto [Started, IsNew] =
-      Hold.Runs_.try_emplace(Order.Run_, HeldRun{.Job_ = Order.Job_,
-                                                 .Origin_ = Origin,
-                                                 .Needs_ = Order.Needs_,
-                                                 .Estimate_ = Order.Estimate_,
-                                                 .Spec_ = Order.Spec_,
-                                                 .OrderedAt_ = T.Now_,
-                                                 .ProgressAt_ = T.Now_});
+      Hold.Runs_.try_emplace(Wanted.Run_, HeldRun{.Job_ = Order.Job_,
+                                                  .Origin_ = Origin,
+                                                  .Needs_ = Order.Needs_,
+                                                  .Estimate_ = Order.Estimate_,
+                                                  .Spec_ = Order.Spec_,
+                                                  .OrderedAt_ = T.Now_,
+                                                  .ProgressAt_ = T.Now_});
   if (!IsNew) {
-    refuseStart(T, Origin, Order, "the run is there already");
+    refuseStart(T, Origin, Order.Job_, Wanted, "the run is there already");
     return;
   }
   Hold.Used_ = Hold.Used_ + Order.Needs_;
   increment(T.State_.Counters_, Counter::TasksStarted);
-  log(T, "run_start", Order.Run_.Job_,
-      {{"task", std::to_string(Order.Run_.Task_)},
-       {"attempt", std::to_string(Order.Run_.Attempt_)},
-       {"worker", Order.Worker_},
+  log(T, "run_start", Wanted.Run_.Job_,
+      {{"task", std::to_string(Wanted.Run_.Task_)},
+       {"attempt", std::to_string(Wanted.Run_.Attempt_)},
+       {"worker", Wanted.Worker_},
        {"life", std::to_string(Hold.Report_.Life_)},
        {"used_m", std::to_string(Hold.Used_.MilliCores_)},
        {"lease_left_ms", text(leaseLeft(T, Hold))},
        {"answer_age_ms", text(T.Now_ - Hold.AnsweredAt_)},
        {"slowness_pct",
         std::to_string(static_cast<int>(Hold.Slowness_ * 100))}});
-  sendStart(T, Hold, Order.Run_, Started->second);
+  sendStart(T, Hold, Wanted.Run_, Started->second);
   lookSoon(T, Hold);
 }
 
+void startRuns(FleetTurn &T, Incarnation Origin, const StartOrder &Order) {
+  for (const OrderedRun &Wanted : Order.Runs_)
+    startRun(T, Origin, Order, Wanted);
+}
+
 void sendStop(FleetTurn &T, WorkerHold &Hold, const RunId &Id, HeldRun &Run) {
   Run.Phase_ = RunPhase::Stopping;
   if (Run.IsStopSent_)
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -36,9 +36,15 @@
   return Sum;
 }
 
-static void tellDataCentre(FleetTurn &T, const FleetMessage &Message) {
+enum class Audience : uint8_t { All, Coordinators };
+
+static void tellDataCentre(FleetTurn &T, const FleetMessage &Message,
+                           Audience To) {
   for (const auto &[Run, Other] : T.State_.Members_) {
-    if (Other.Info_.DataCentre_ == T.State_.Self_.DataCentre_)
+    const bool IsMeant =
+        Other.Info_.DataCentre_ == T.State_.Self_.DataCentre_ &&
+        (To == Audience::All || Other.Status_.IsCoordinating_);
+    if (IsMeant)
       tell(T, Run, Message);
   }
 }
@@ -55,14 +61,17 @@
        {"before", std::to_string(Known.Version_)},
        {"routes", std::to_string(Read.Config_.Routes_.size())},
        {"from", Read.IsFromStore_ ? "store" : "instance"}});
+  // As instances start, each of them reads the configuration.
+  const bool IsChange = Known.Version_ != 0;
   Known = std::move(Read.Config_);
   std::erase_if(State.Times_.ByRoute_, [&Known](const auto &Entry) {
     return std::none_of(
         Known.Routes_.begin(), Known.Routes_.end(),
         [&Entry](const Route &One) { return One.Name_ == Entry.first; });
   });
-  if (Read.IsFromStore_ && isReader(State, T.Now_))
-    tellAll(T, ConfigNews{Known.Version_, std::move(Read.Text_)});
+  if (IsChange && Read.IsFromStore_ && isReader(State, T.Now_))
+    tellDataCentre(T, ConfigNews{Known.Version_, std::move(Read.Text_)},
+                   Audience::All);
 }
 
 void takeConfigNews(FleetTurn &T, const ConfigNews &News) {
@@ -77,9 +86,11 @@
   State.ListSeenAt_ = T.Now_;
   if (!isReader(State, T.Now_))
     return;
-  ListNews News{.Fingerprint_ = fingerprintOf(State.Listed_),
-                .ConfigAge_ = T.Now_ - State.ConfigSeenAt_,
-                .ConfigVersion_ = State.Config_.Version_};
+  tellDataCentre(T,
+                 ConfigFreshness{.Age_ = T.Now_ - State.ConfigSeenAt_,
+                                 .Version_ = State.Config_.Version_},
+                 Audience::All);
+  ListNews News{.Fingerprint_ = fingerprintOf(State.Listed_)};
   for (const auto &[Id, Report] : State.Listed_) {
     const auto Known = Before.find(Id);
     if (Known == Before.end() || !(Known->second == Report))
@@ -89,18 +100,21 @@
     if (!State.Listed_.contains(Id))
       News.Removed_.push_back(Id);
   }
-  tellDataCentre(T, News);
+  tellDataCentre(T, News, Audience::Coordinators);
 }
 
-void takeListNews(FleetTurn &T, const ListNews &News) {
+void takeConfigFreshness(FleetTurn &T, const ConfigFreshness &Given) {
   FleetInstance &State = T.State_;
   // A configuration that was told before the session with its reader began is
   // read from the store.
-  if (News.ConfigVersion_ <= State.Config_.Version_)
-    State.ConfigHeardAt_ =
-        std::max(State.ConfigHeardAt_, T.Now_ - News.ConfigAge_);
+  if (Given.Version_ <= State.Config_.Version_)
+    State.ConfigHeardAt_ = std::max(State.ConfigHeardAt_, T.Now_ - Given.Age_);
   else
     State.ConfigHeardAt_ = {};
+}
+
+void takeListNews(FleetTurn &T, const ListNews &News) {
+  FleetInstance &State = T.State_;
   std::map<std::string, WorkerReport> Listed = State.Listed_;
   for (const WorkerReport &Report : News.Changed_)
     Listed[Report.Id_] = Report;
@@ -122,22 +136,23 @@
 } // namespace internal
 
 bool isReader(const FleetInstance &State, Milliseconds Now) {
-  if (State.IsStopping_)
+  if (!State.IsCoordinating_)
     return false;
   for (const auto &[Run, Other] : State.Members_) {
     const bool IsCandidate =
         Other.Info_.DataCentre_ == State.Self_.DataCentre_ &&
         internal::takesWork(Other.Status_) &&
         Now - Other.HeardAt_ <= State.Options_.PlacerSilence_;
-    if (IsCandidate && internal::isPreferred(Other.Info_, State.Self_))
+    if (IsCandidate && isPreferred(Other.Info_, State.Self_))
       return false;
   }
   return true;
 }
 
 bool shouldReadList(const FleetInstance &State, Milliseconds Now) {
-  return !State.HasList_ || isReader(State, Now) ||
-         Now - State.ListHeardAt_ > State.Options_.ListNewsAge_;
+  return State.IsCoordinating_ &&
+         (!State.HasList_ || isReader(State, Now) ||
+          Now - State.ListHeardAt_ > State.Options_.ListNewsAge_);
 }
 
 bool shouldFollowConfig(const FleetInstance &State, Milliseconds Now) {
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -4,6 +4,7 @@
 #include "marjorambend/src/Fleet/OriginStep.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace marjorambend::internal {
@@ -230,8 +231,11 @@
   closeJob(T, Job);
 }
 
+// Orders of one job to one holder; its specification is sent once.
+using OrdersByHolder = std::map<Incarnation, StartOrder>;
+
 static void orderTask(FleetTurn &T, OriginJob &Job, const Placement &Place,
-                      Incarnation Placer) {
+                      Incarnation Placer, OrdersByHolder &Orders) {
   OriginTask &Task = Job.Tasks_[Place.Task_];
   Task.Phase_ = OriginTaskPhase::Ordered;
   Task.Worker_ = Place.Worker_;
@@ -246,13 +250,20 @@
        {"free_m", std::to_string(Place.FreeMilliCores_)},
        {"view_age_ms", text(Place.ViewAge_)},
        {"waited_ms", text(T.Now_ - Job.ArrivedAt_)}});
-  tell(T, Place.Holder_,
-       StartOrder{.Job_ = Job.Number_,
-                  .Run_ = {Job.Submission_.Id_, Place.Task_, Task.Attempt_},
-                  .Worker_ = Place.Worker_,
-                  .Needs_ = Job.Submission_.Needs_,
-                  .Estimate_ = Job.Submission_.Estimate_,
-                  .Spec_ = Job.Submission_.Spec_});
+  Orders[Place.Holder_].Runs_.push_back(
+      {.Run_ = {Job.Submission_.Id_, Place.Task_, Task.Attempt_},
+       .Worker_ = Place.Worker_});
+}
+
+static void sendOrders(FleetTurn &T, const OriginJob &Job,
+                       OrdersByHolder Orders) {
+  for (auto &[Holder, Order] : Orders) {
+    Order.Job_ = Job.Number_;
+    Order.Needs_ = Job.Submission_.Needs_;
+    Order.Estimate_ = Job.Submission_.Estimate_;
+    Order.Spec_ = Job.Submission_.Spec_;
+    tell(T, Holder, std::move(Order));
+  }
 }
 
 bool isReachable(const FleetInstance &State, Incarnation Run) {
@@ -262,19 +273,22 @@
 void takePlacements(FleetTurn &T, Incarnation From, const Placed &Given) {
   OriginJob *Job = findJob(T.State_, Given.Job_);
   std::vector<uint32_t> Again;
+  OrdersByHolder Orders;
   for (const Placement &Place : Given.Tasks_) {
     const bool IsWanted =
         Job != nullptr && !Job->IsAnswered_ &&
         Place.Task_ < Job->Tasks_.size() && Job->Placer_ == From &&
         Job->Tasks_[Place.Task_].Phase_ == OriginTaskPhase::Waiting;
     if (IsWanted && isReachable(T.State_, Place.Holder_)) {
-      orderTask(T, *Job, Place, From);
+      orderTask(T, *Job, Place, From, Orders);
       continue;
     }
     if (IsWanted)
       Again.push_back(Place.Task_);
     tell(T, From, PlaceRelease{Given.Job_, Place.Task_, RunEnd::NotStarted});
   }
+  if (!Orders.empty())
+    sendOrders(T, *Job, std::move(Orders));
   if (!Again.empty())
     requestTasks(T, *Job, std::move(Again));
 }
--- a/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
@@ -7,12 +7,6 @@
 
 namespace marjorambend::internal {
 
-bool isPreferred(const InstanceInfo &A, const InstanceInfo &B) {
-  if (A.CpuShare_ != B.CpuShare_)
-    return A.CpuShare_ > B.CpuShare_;
-  return A.Name_ < B.Name_;
-}
-
 // What waits and what is reserved moves to the new placer.
 static void moveToPlacer(FleetTurn &T, Incarnation Before) {
   const bool IsBeforeThere = isReachable(T.State_, Before);
@@ -37,11 +31,11 @@
 
 void choosePlacer(FleetTurn &T) {
   FleetInstance &State = T.State_;
-  const InstanceInfo *Best = isReady(State) ? &State.Self_ : nullptr;
+  const InstanceInfo *Best =
+      State.IsCoordinating_ && isReady(State) ? &State.Self_ : nullptr;
   for (const auto &[Run, Other] : State.Members_) {
     const bool IsEligible =
-        takesWork(Other.Status_) &&
-        T.Now_ - Other.HeardAt_ <= State.Options_.PlacerSilence_;
+        takesWork(Other.Status_) && isHeard(State, Other, T.Now_);
     if (IsEligible && (Best == nullptr || isPreferred(Other.Info_, *Best)))
       Best = &Other.Info_;
   }
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -13,11 +13,10 @@
   /// What another instance asks for.
   static StartOrder orderOf(const RunId &Run) {
     return {.Job_ = 1,
-            .Run_ = Run,
-            .Worker_ = "w",
             .Needs_ = {27'000, 64, 0},
             .Estimate_ = {1'000},
-            .Spec_ = "spec"};
+            .Spec_ = "spec",
+            .Runs_ = {{Run, "w"}}};
   }
   /// A job of one task that runs on the worker.
   void startTask() {
--- a/coordination/test/Fleet/NewsTests.cpp
+++ b/coordination/test/Fleet/NewsTests.cpp
@@ -17,8 +17,9 @@
   }
   static void meet(Story & One, Story & Another) {
     One.give(InstanceUp{Another.State_.Self_});
-    One.give(InstanceSaid{Another.State_.Self_.Run_,
-                          InstanceStatus{.IsReady_ = true}});
+    One.give(InstanceSaid{
+        Another.State_.Self_.Run_,
+        InstanceStatus{.IsReady_ = true, .IsCoordinating_ = true}});
   }
   /// Hands on what the reader tells.
   void carry(const FleetActions &Wanted) {
--- a/coordination/test/Fleet/Story.h
+++ b/coordination/test/Fleet/Story.h
@@ -13,6 +13,7 @@
   explicit Story(FleetOptions Options = {.Name_ = "a", .DataCentre_ = "dc"})
       : State_(makeFleetInstance(Options, Options.Name_.front())) {
     pass(0);
+    give(InstancesRead{});
   }
 
   FleetActions give(FleetEvent Event) {
@@ -95,11 +96,12 @@
 
   /// \brief Another instance, as the holder's peer.
   FleetActions meet(uint64_t Run, std::string DataCentre = "dc") {
-    FleetActions Wanted =
-        give(InstanceUp{{.Run_ = {Run},
-                         .Name_ = "z" + std::to_string(Run),
-                         .DataCentre_ = std::move(DataCentre)}});
-    give(InstanceSaid{{Run}, InstanceStatus{.IsReady_ = true}});
+    FleetActions Wanted = give(InstanceUp{{.Run_ = {Run},
+                                           .Name_ = "z" + std::to_string(Run),
+                                           .DataCentre_ = std::move(DataCentre),
+                                           .CpuShare_ = 1'000}});
+    give(InstanceSaid{
+        {Run}, InstanceStatus{.IsReady_ = true, .IsCoordinating_ = true}});
     return Wanted;
   }
 
--- a/coordination/test/Golden/FleetSessions.cpp
+++ b/coordination/test/Golden/FleetSessions.cpp
@@ -29,6 +29,9 @@
     return "tell " + std::to_string(A.To_.Value_) + " message " +
            std::to_string(A.Message_.index());
   }
+  std::string operator()(const LinkInstances &A) const {
+    return "link " + std::to_string(A.Addresses_.size()) + " instances";
+  }
   std::string operator()(const DecodeConfigText &) const {
     return "decode a configuration";
   }
--- a/coordination/test/Simulation/FleetWorld.cpp
+++ b/coordination/test/Simulation/FleetWorld.cpp
@@ -23,6 +23,7 @@
 static constexpr double TargetLatency = 60;
 static constexpr double LateShare = 0.2;
 static constexpr uint32_t MaxCallerAttempts = 3;
+static constexpr uint32_t FirstCpuShare = 620;
 
 std::vector<LoadKind> agenciaKinds(double Load) {
   return {{.Name_ = "cotiza",
@@ -59,8 +60,7 @@
   for (uint32_t Centre = 0; Centre < Options_.DataCentres_; ++Centre) {
     const std::string Name = "dc" + std::to_string(Centre);
     for (uint32_t Index = 0; Index < Options_.InstancesEach_; ++Index)
-      Nodes_.push_back(
-          {.Name_ = Name + "-i" + std::to_string(Index), .DataCentre_ = Name});
+      addNode(Name, Index);
     for (uint32_t Index = 0; Index < Options_.WorkersEach_; ++Index) {
       const std::string Id = Name + "-w" + std::to_string(Index);
       SimWorker &Worker = Workers_[Id];
@@ -120,12 +120,13 @@
   FleetOptions Options;
   Options.Name_ = Starting.Name_;
   Options.DataCentre_ = Starting.DataCentre_;
-  Options.CpuShare_ = Index == 0 ? 620 : 250;
+  Options.CpuShare_ = Starting.Info_.CpuShare_;
   Options.Placer_ = Options_.Placer_;
   if (Options_.Plant_ == FleetPlant::LongLeases)
     Options.Holder_.Lease_ = Options.Holder_.MaxLease_ = {10'000};
   Starting.State_ = std::make_unique<FleetInstance>(
       makeFleetInstance(std::move(Options), Generator_()));
+  Starting.State_->Self_.Address_ = Starting.Name_;
   Starting.Info_ = Starting.State_->Self_;
   Starting.IsUp_ = true;
   Starting.IsFrozen_ = false;
@@ -137,6 +138,7 @@
   Starting.Held_.clear();
   Starting.NewSessions_.clear();
   Starting.SessionTo_.clear();
+  Starting.Wanted_.clear();
   const uint64_t Epoch = Starting.Epoch_;
   tickNode(Index, Epoch);
   after(between(5, 60), [this, Index, Epoch] {
@@ -155,12 +157,52 @@
       Nodes_[Index].KnowsClock_ = true;
     give(Index, Epoch, ConfigRead{Config});
   });
+  after(between(5, 60), [this, Index, Epoch] { listInstances(Index, Epoch); });
   for (std::size_t Other = 0; Other < Nodes_.size(); ++Other) {
     if (Other != Index)
       after(between(2, 300), [this, Index, Other] { connect(Index, Other); });
   }
 }
 
+void FleetWorld::addNode(const std::string &DataCentre, uint32_t Index) {
+  Node New{.Name_ = DataCentre + "-i" + std::to_string(Index),
+           .DataCentre_ = DataCentre};
+  New.Info_ = {
+      .Name_ = New.Name_,
+      .DataCentre_ = DataCentre,
+      .CpuShare_ =
+          Nodes_.empty()
+              ? FirstCpuShare
+              : Options_.CpuShares_[Index % Options_.CpuShares_.size()],
+      .Address_ = New.Name_};
+  Nodes_.push_back(std::move(New));
+}
+
+// The store's rows outlive the instances that wrote them.
+void FleetWorld::listInstances(std::size_t Index, uint64_t Epoch) {
+  if (Nodes_[Index].Epoch_ != Epoch)
+    return;
+  if (isListOutFor(Nodes_[Index].DataCentre_)) {
+    after(ListEvery, [this, Index, Epoch] { listInstances(Index, Epoch); });
+    return;
+  }
+  InstancesRead Read;
+  for (const Node &One : Nodes_)
+    Read.Instances_.push_back(One.Info_);
+  give(Index, Epoch, std::move(Read));
+}
+
+bool FleetWorld::isWanted(const Node &By, const Node &Other) const {
+  return By.Wanted_.contains(linkAddressOf(Other.Info_));
+}
+
+void FleetWorld::connectWanted(std::size_t Index) {
+  for (std::size_t Other = 0; Other < Nodes_.size(); ++Other) {
+    if (Other != Index && isWanted(Nodes_[Index], Nodes_[Other]))
+      after(between(2, 100), [this, Index, Other] { connect(Index, Other); });
+  }
+}
+
 // Nobody hears it, since it is away or far behind with its events.
 bool FleetWorld::isSilent(const Node &One) const {
   return !One.IsUp_ || One.IsFrozen_ ||
@@ -171,9 +213,10 @@
   Node &First = Nodes_[A];
   Node &Second = Nodes_[B];
   const auto Pair = std::minmax(A, B);
-  const bool IsPossible = !isSilent(First) && !isSilent(Second) &&
-                          Cut_[Pair] == 0 && Linked_[Pair] == 0 &&
-                          EndedBy_[Pair] <= Now_;
+  const bool IsPossible =
+      (isWanted(First, Second) || isWanted(Second, First)) &&
+      !isSilent(First) && !isSilent(Second) && Cut_[Pair] == 0 &&
+      Linked_[Pair] == 0 && EndedBy_[Pair] <= Now_;
   if (!IsPossible)
     return;
   Linked_[Pair] = NextSession_++;
@@ -333,6 +376,9 @@
       carryOutLook(Index, *Look);
     } else if (const auto *Answer = std::get_if<AnswerJob>(&One)) {
       answer(Index, *Answer);
+    } else if (const auto *Links = std::get_if<LinkInstances>(&One)) {
+      Nodes_[Index].Wanted_ = Links->Addresses_;
+      connectWanted(Index);
     } else if (const auto *Line = std::get_if<LogDecision>(&One)) {
       if (!isKnownLine(*Line))
         violate("unknown log line " + std::string(Line->What_));
--- a/coordination/test/Simulation/FleetWorld.h
+++ b/coordination/test/Simulation/FleetWorld.h
@@ -10,6 +10,7 @@
 #include <marjorambend/Fleet>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
   uint32_t DataCentres_ = 3;
   uint32_t InstancesEach_ = 3;
   uint32_t WorkersEach_ = 16;
+  /// Thousandths of a core of each data centre's instances, in turn.
+  std::vector<uint32_t> CpuShares_{250};
   int64_t WorkerMilliCores_ = 64'000;
   /// Every third worker is larger by this factor.
   double LargeFactor_ = 1.5;
@@ -135,6 +138,7 @@
     /// Sessions that it has not been told of yet, in order; it may be slow.
     std::deque<uint64_t> NewSessions_;
     std::map<std::size_t, uint64_t> SessionTo_; ///< As it knows them.
+    std::set<LinkAddress> Wanted_;              ///< Sessions that it keeps up.
   };
   struct Caller {
     uint64_t Id_ = 0;
@@ -168,6 +172,7 @@
   int64_t between(int64_t Least, int64_t Most);
   bool chance(double Share);
 
+  void addNode(const std::string &DataCentre, uint32_t Index);
   void startNode(std::size_t Index);
   void endNode(std::size_t Index, bool IsSilent);
   void stopNode(std::size_t Index);
@@ -179,7 +184,10 @@
   void carryOut(std::size_t Index, FleetActions Wanted);
   void plantInto(FleetActions &Wanted) const;
   bool isSilent(const Node &One) const;
+  void listInstances(std::size_t Index, uint64_t Epoch);
   void connect(std::size_t A, std::size_t B);
+  void connectWanted(std::size_t Index);
+  bool isWanted(const Node &By, const Node &Other) const;
   void disconnect(std::size_t A, std::size_t B, int64_t Delay);
   std::optional<std::size_t> nodeOf(Incarnation Run) const;
 
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -71,6 +71,12 @@
     D_.applyLimits(Config->Limits_);
     D_.handle(ConfigRead{.Config_ = std::move(Config->Fleet_)});
   }
+  void operator()(const LinkInstances &A) const {
+    std::set<Endpoint> Wanted;
+    for (const auto &[Address, Port] : A.Addresses_)
+      Wanted.insert({Address, Port});
+    D_.Links_.keepLinked(Wanted);
+  }
   void operator()(const LogDecision &A) const { D_.Log_.write(A); }
 };
 
@@ -87,8 +93,8 @@
                 handle(WorkersRead{std::move(Workers)});
               },
           .OnInstances_ =
-              [this](const std::set<Endpoint> &Known) {
-                Links_.addEndpoints(Known);
+              [this](std::vector<InstanceInfo> Known) {
+                handle(InstancesRead{std::move(Known)});
               },
           .OnConfigConfirmed_ = [this] { handle(ConfigConfirmed{}); },
           .OnClock_ =
@@ -133,6 +139,8 @@
                [this](Incarnation From, FleetMessage Message) {
                  handle(InstanceSaid{From, std::move(Message)});
                },
+           .AwaitedSince_ =
+               [this](Incarnation Run) { return sharedSince(State_, Run); },
            .OnRejected_ =
                [this](std::string_view From) {
                  increment(State_.Counters_, Counter::PeerFramesRejected);
@@ -141,10 +149,7 @@
       Workers_(WorkerClient_, {},
                [this](FleetEvent Event) { handle(std::move(Event)); }),
       Store_(Loop, StoreClient_,
-             {.Store_ = Settings.Store_,
-              .Instance_ = Settings.Name_,
-              .Links_ = Settings.Links_},
-             storeEvents()),
+             {.Store_ = Settings.Store_, .Self_ = State_.Self_}, storeEvents()),
       Callers_(
           Loop, listenOn(Settings.Callers_),
           [this](HttpRequest &&R) { return onCaller(std::move(R)); },
@@ -310,7 +315,7 @@
   std::set<Endpoint> Seeds;
   for (const std::string &Address : From.SeedAddresses_)
     Seeds.insert({Address, Settings_.Links_.Port_});
-  Links_.addEndpoints(Seeds);
+  Links_.setSeeds(Seeds);
 }
 
 // Not ready at once, so that new connections go elsewhere; the end when every
--- a/transport/marjorambend/src/Transport/FleetCodec.cpp
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -51,10 +51,10 @@
                 .Union()};
   }
   FleetBody operator()(const InstanceStatus &M) const {
-    return {
-        fleetwire::Body::Status,
-        fleetwire::CreateStatus(B_, M.IsReady_, M.IsStopping_, M.HighestToken_)
-            .Union()};
+    return {fleetwire::Body::Status,
+            fleetwire::CreateStatus(B_, M.IsReady_, M.IsStopping_,
+                                    M.HighestToken_, M.IsCoordinating_)
+                .Union()};
   }
   auto worker(const WorkerReport &R, bool IsOpen, double Slowness) const {
     const auto Id = text(R.Id_);
@@ -81,10 +81,9 @@
       Changed.push_back(worker(One, false, 1.0));
     const auto All = B_.CreateVector(Changed);
     const auto Removed = B_.CreateVectorOfStrings(M.Removed_);
-    return {fleetwire::Body::ListNews,
-            fleetwire::CreateListNews(B_, All, Removed, M.Fingerprint_,
-                                      M.ConfigAge_.Count_, M.ConfigVersion_)
-                .Union()};
+    return {
+        fleetwire::Body::ListNews,
+        fleetwire::CreateListNews(B_, All, Removed, M.Fingerprint_).Union()};
   }
   FleetBody operator()(const ConfigNews &M) const {
     const auto Text = text(M.Text_);
@@ -143,15 +142,43 @@
                 .Union()};
   }
   FleetBody operator()(const StartOrder &M) const {
-    const auto Worker = text(M.Worker_);
+    std::vector<flatbuffers::Offset<fleetwire::OrderedRun>> Runs;
+    for (const OrderedRun &One : M.Runs_) {
+      const auto Worker = text(One.Worker_);
+      const fleetwire::Run Run = toWire(One.Run_);
+      Runs.push_back(fleetwire::CreateOrderedRun(B_, &Run, Worker));
+    }
+    const auto All = B_.CreateVector(Runs);
     const auto Spec = text(M.Spec_);
-    const fleetwire::Run Run = toWire(M.Run_);
     const fleetwire::Room Needs = toWire(M.Needs_);
     return {fleetwire::Body::StartOrder,
-            fleetwire::CreateStartOrder(B_, M.Job_, &Run, Worker, &Needs,
-                                        M.Estimate_.Count_, Spec)
+            fleetwire::CreateStartOrder(B_, M.Job_, &Needs, M.Estimate_.Count_,
+                                        Spec, All)
+                .Union()};
+  }
+  FleetBody operator()(const ConfigFreshness &M) const {
+    return {fleetwire::Body::ConfigFreshness,
+            fleetwire::CreateConfigFreshness(B_, M.Age_.Count_, M.Version_)
                 .Union()};
   }
+  FleetBody operator()(const RosterNews &M) const {
+    std::vector<flatbuffers::Offset<fleetwire::Instance>> Instances;
+    for (const InstanceInfo &One : M.Instances_)
+      Instances.push_back(fleetwire::CreateInstance(
+          B_, text(One.Name_), text(One.DataCentre_), One.CpuShare_,
+          text(One.Address_), One.Port_));
+    const auto All = B_.CreateVector(Instances);
+    return {fleetwire::Body::RosterNews,
+            fleetwire::CreateRosterNews(B_, All).Union()};
+  }
+  FleetBody operator()(const RosterQuery &) const {
+    return {fleetwire::Body::RosterQuery,
+            fleetwire::CreateRosterQuery(B_).Union()};
+  }
+  FleetBody operator()(const SessionConfirmation &) const {
+    return {fleetwire::Body::Confirmation,
+            fleetwire::CreateConfirmation(B_).Union()};
+  }
   FleetBody operator()(const StopOrder &M) const {
     const auto Worker = text(M.Worker_);
     const fleetwire::Run Run = toWire(M.Run_);
@@ -257,9 +284,7 @@
 
 static ListNews toNews(const fleetwire::ListNews &M) {
   ListNews Given{.Removed_ = toTexts(M.removed()),
-                 .Fingerprint_ = M.fingerprint(),
-                 .ConfigAge_ = {M.config_age_ms()},
-                 .ConfigVersion_ = M.config_version()};
+                 .Fingerprint_ = M.fingerprint()};
   if (M.changed() == nullptr)
     return Given;
   for (const auto *One : *M.changed())
@@ -267,7 +292,33 @@
   return Given;
 }
 
-static std::optional<std::variant<SessionHello, FleetMessage>>
+static StartOrder toOrder(const fleetwire::StartOrder &M) {
+  StartOrder Given{.Job_ = M.job(),
+                   .Needs_ = fromWire(M.needs()),
+                   .Estimate_ = {M.estimate_ms()},
+                   .Spec_ = fromWire(M.spec())};
+  if (M.runs() == nullptr)
+    return Given;
+  for (const auto *One : *M.runs())
+    Given.Runs_.push_back({fromWire(One->run()), fromWire(One->worker())});
+  return Given;
+}
+
+static RosterNews toRoster(const fleetwire::RosterNews &M) {
+  RosterNews Given;
+  if (M.instances() == nullptr)
+    return Given;
+  for (const auto *One : *M.instances())
+    Given.Instances_.push_back({.Name_ = fromWire(One->name()),
+                                .DataCentre_ = fromWire(One->data_centre()),
+                                .CpuShare_ = One->cpu_share(),
+                                .Address_ = fromWire(One->address()),
+                                .Port_ = One->port()});
+  return Given;
+}
+
+static std::optional<
+    std::variant<SessionHello, SessionConfirmation, FleetMessage>>
 toBody(const fleetwire::Frame &Frame) {
   switch (Frame.body_type()) {
   case fleetwire::Body::Hello:
@@ -276,6 +327,7 @@
     const auto &M = *Frame.body_as_Status();
     return InstanceStatus{.IsReady_ = M.is_ready(),
                           .IsStopping_ = M.is_stopping(),
+                          .IsCoordinating_ = M.is_coordinating(),
                           .HighestToken_ = M.highest_token()};
   }
   case fleetwire::Body::WorkersHeld:
@@ -301,15 +353,18 @@
     const auto &M = *Frame.body_as_PlaceRefused();
     return PlaceRefused{M.job(), {M.retry_after_ms()}};
   }
-  case fleetwire::Body::StartOrder: {
-    const auto &M = *Frame.body_as_StartOrder();
-    return StartOrder{.Job_ = M.job(),
-                      .Run_ = fromWire(M.run()),
-                      .Worker_ = fromWire(M.worker()),
-                      .Needs_ = fromWire(M.needs()),
-                      .Estimate_ = {M.estimate_ms()},
-                      .Spec_ = fromWire(M.spec())};
+  case fleetwire::Body::StartOrder:
+    return toOrder(*Frame.body_as_StartOrder());
+  case fleetwire::Body::ConfigFreshness: {
+    const auto &M = *Frame.body_as_ConfigFreshness();
+    return ConfigFreshness{{M.age_ms()}, M.version()};
   }
+  case fleetwire::Body::RosterNews:
+    return toRoster(*Frame.body_as_RosterNews());
+  case fleetwire::Body::RosterQuery:
+    return RosterQuery{};
+  case fleetwire::Body::Confirmation:
+    return SessionConfirmation{};
   case fleetwire::Body::StopOrder: {
     const auto &M = *Frame.body_as_StopOrder();
     return StopOrder{fromWire(M.run()), fromWire(M.worker())};
--- a/transport/marjorambend/src/Transport/FleetCodec.h
+++ b/transport/marjorambend/src/Transport/FleetCodec.h
@@ -19,11 +19,14 @@
   uint64_t Received_ = 0;  ///< Sequence up to which the sender has received.
 };
 
+/// \brief Confirms what was received where there is nothing else to say.
+struct SessionConfirmation {};
+
 /// \brief One frame between two instances.
 struct SessionFrame {
   uint64_t Sequence_ = 0; ///< 0: outside the sequence, not repeated.
   uint64_t Received_ = 0;
-  std::variant<SessionHello, FleetMessage> Body_;
+  std::variant<SessionHello, SessionConfirmation, FleetMessage> Body_;
 };
 
 /// \brief The frame's bytes, with their length before them.
--- a/transport/marjorambend/src/Transport/Session.h
+++ b/transport/marjorambend/src/Transport/Session.h
@@ -24,10 +24,12 @@
 /// the session ends on both sides.
 struct Session {
   InstanceInfo Peer_;
-  uint64_t Nonce_ = 0;     ///< Our number of it.
-  uint64_t PeerNonce_ = 0; ///< The peer's number; 0 until it is established.
-  uint64_t Sent_ = 0;      ///< Sequence of the last message sent.
-  uint64_t Received_ = 0;  ///< Sequence of the last message received.
+  uint64_t Nonce_ = 0;      ///< Our number of it.
+  uint64_t PeerNonce_ = 0;  ///< The peer's number; 0 until it is established.
+  uint64_t Sent_ = 0;       ///< Sequence of the last message sent.
+  uint64_t Received_ = 0;   ///< Sequence of the last message received.
+  uint64_t Confirmed_ = 0;  ///< Of the last message whose receipt was told.
+  Milliseconds ReceivedAt_; ///< Of the first one since.
   std::deque<SentMessage> Unconfirmed_;
   Milliseconds HeardAt_;
 };
--- a/transport/marjorambend/src/Transport/SessionLinks.cpp
+++ b/transport/marjorambend/src/Transport/SessionLinks.cpp
@@ -2,6 +2,7 @@
 
 #include "marjorambend/src/Transport/Sockets.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -15,6 +16,8 @@
 static constexpr std::size_t LengthBytes = sizeof(uint32_t);
 // A connection whose data is not acknowledged for this long is given up.
 static constexpr unsigned UserTimeoutMs = 1'000;
+// A tick that is later by more than this may not have seen what has arrived.
+static constexpr Milliseconds LateTick{120};
 
 /// \brief One TCP connection between two instances.
 struct SessionLinks::Connection {
@@ -83,19 +86,26 @@
   if (Listener_ == nullptr)
     return tl::unexpected(ListenError{"cannot listen on " + Own.Address_ + ':' +
                                       std::to_string(Own.Port_)});
+  StartedAt_ = LastTick_ = monotonicNow();
   Tick_ = std::make_unique<Timer>(Loop_, TickInterval, Timer::Mode::Repeat,
                                   [this] { tick(); });
   return {};
 }
 
-void SessionLinks::addEndpoints(const std::set<Endpoint> &Endpoints) {
-  for (const Endpoint &One : Endpoints) {
-    if (One != endpointOf(Options_.Self_))
-      Endpoints_.try_emplace(One);
-  }
+void SessionLinks::keepLinked(const std::set<Endpoint> &Endpoints) {
+  Wanted_ = Endpoints;
+  Wanted_.erase(endpointOf(Options_.Self_));
+  Seeds_.clear();
   dialAll();
 }
 
+void SessionLinks::setSeeds(const std::set<Endpoint> &Seeds) {
+  if (!Wanted_.empty())
+    return;
+  Seeds_ = Seeds;
+  Seeds_.erase(endpointOf(Options_.Self_));
+}
+
 std::set<Endpoint> SessionLinks::linkedEndpoints() const {
   std::set<Endpoint> Linked;
   for (const auto &[Key, Open] : Connections_) {
@@ -113,12 +123,24 @@
   const Milliseconds Now = monotonicNow();
   NextDial_ = Now + Options_.Redial_;
   const std::set<Endpoint> Linked = linkedEndpoints();
-  for (auto &[To, State] : Endpoints_) {
+  const bool IsSeeding =
+      Wanted_.empty() && Now - StartedAt_ >= Options_.SeedsAfter_;
+  std::set<Endpoint> Targets = IsSeeding ? Seeds_ : Wanted_;
+  // A session without a connection is resumed, or a refusal ends it at once.
+  for (const auto &[Run, Open] : Sessions_) {
+    if (Open.Active_ == nullptr)
+      Targets.insert(endpointOf(Open.Session_.Peer_));
+  }
+  for (const Endpoint &To : Targets) {
+    DialState &State = Endpoints_[To];
     if (Now < State.NextAt_ || Linked.contains(To))
       continue;
     const bool HasSession = State.Run_ && Sessions_.contains(*State.Run_);
-    State.NextAt_ =
-        Now + (HasSession ? Options_.Redial_ : Options_.SlowRedial_);
+    State.Pause_ = HasSession
+                       ? Options_.Redial_
+                       : std::clamp(State.Pause_ * 2, Options_.SlowRedial_,
+                                    Options_.SlowestRedial_);
+    State.NextAt_ = Now + State.Pause_;
     dial(To);
   }
 }
@@ -199,10 +221,13 @@
     connectionLost(From, false);
     return false;
   }
+  if (State.Confirmed_ == State.Received_)
+    State.ReceivedAt_ = State.HeardAt_;
   const bool IsRepeated =
       Frame.Sequence_ != 0 && !isNext(State, Frame.Sequence_);
-  if (!IsRepeated)
-    Events_.OnMessage_(*From.Run_, std::get<FleetMessage>(Frame.Body_));
+  const auto *Message = std::get_if<FleetMessage>(&Frame.Body_);
+  if (!IsRepeated && Message != nullptr)
+    Events_.OnMessage_(*From.Run_, *Message);
   return Connections_.contains(&From);
 }
 
@@ -252,6 +277,7 @@
     write(From, {.Body_ = helloFor(State.Session_, Options_.Self_)});
   if (Result == HelloResult::Ignored)
     return true;
+  Endpoints_[endpointOf(Info)].Pause_ = {};
   if (Result == HelloResult::Established)
     Events_.OnUp_(Info);
   activate(State, From);
@@ -302,10 +328,12 @@
                                            .SentAt_ = monotonicNow(),
                                            .Message_ = Message});
   }
-  if (State.Active_ != nullptr)
-    write(*State.Active_, {.Sequence_ = Sequence,
-                           .Received_ = State.Session_.Received_,
-                           .Body_ = Message});
+  if (State.Active_ == nullptr)
+    return;
+  State.Session_.Confirmed_ = State.Session_.Received_;
+  write(*State.Active_, {.Sequence_ = Sequence,
+                         .Received_ = State.Session_.Received_,
+                         .Body_ = Message});
 }
 
 void SessionLinks::close(Connection &Broken) {
@@ -362,14 +390,47 @@
     Events_.OnDown_(Run);
 }
 
-void SessionLinks::tick() {
-  const Milliseconds Now = monotonicNow();
+void SessionLinks::confirmReceipts(Milliseconds Now) {
+  for (auto &[Run, State] : Sessions_) {
+    Session &Open = State.Session_;
+    const bool IsDue = State.Active_ != nullptr &&
+                       Open.Confirmed_ != Open.Received_ &&
+                       Now - Open.ReceivedAt_ >= Options_.ConfirmWithin_;
+    if (!IsDue)
+      continue;
+    Open.Confirmed_ = Open.Received_;
+    write(*State.Active_,
+          {.Received_ = Open.Received_, .Body_ = SessionConfirmation{}});
+  }
+}
+
+// How far the silence exceeds what is allowed; the other side has to speak up
+// soon only if its words, or confirmations of ours, are awaited.
+Milliseconds SessionLinks::silenceOf(const Session &State, Milliseconds HeardAt,
+                                     Milliseconds Bound,
+                                     Milliseconds Now) const {
+  Milliseconds Excess = Now - HeardAt - Options_.IdleSilence_;
+  if (!State.Unconfirmed_.empty()) {
+    const Milliseconds Since =
+        std::max(HeardAt, State.Unconfirmed_.front().SentAt_);
+    Excess = std::max(Excess, Now - Since - Bound);
+  }
+  if (const auto Awaited = Events_.AwaitedSince_(State.Peer_.Run_))
+    Excess = std::max(Excess, Now - std::max(HeardAt, *Awaited) - Bound);
+  return Excess;
+}
+
+void SessionLinks::closeSilent(Milliseconds Now) {
   std::vector<Connection *> Silent;
   for (const auto &[Key, Open] : Connections_) {
     const bool IsUngreeted =
         !Open->Run_ && Now - Open->OpenedAt_ > Options_.GreetingTimeout_;
+    const auto Known =
+        Open->Run_ ? Sessions_.find(*Open->Run_) : Sessions_.end();
     const bool IsSilent =
-        Open->Run_ && Now - Open->HeardAt_ > Options_.ConnectionSilence_;
+        Known != Sessions_.end() &&
+        silenceOf(Known->second.Session_, Open->HeardAt_,
+                  Options_.ConnectionSilence_, Now) > Milliseconds{0};
     if (IsUngreeted || IsSilent)
       Silent.push_back(Key);
   }
@@ -377,14 +438,30 @@
     if (Connections_.contains(One))
       connectionLost(*One, false);
   }
+}
+
+void SessionLinks::endSilent(Milliseconds Now) {
   std::vector<Incarnation> Ended;
   for (const auto &[Run, State] : Sessions_) {
-    if (Now - State.Session_.HeardAt_ > Options_.SessionSilence_ ||
-        State.Session_.Unconfirmed_.size() > Options_.MaxUnconfirmed_)
+    const Session &Open = State.Session_;
+    if (silenceOf(Open, Open.HeardAt_, Options_.SessionSilence_, Now) >
+            Milliseconds{0} ||
+        Open.Unconfirmed_.size() > Options_.MaxUnconfirmed_)
       Ended.push_back(Run);
   }
   for (const Incarnation Run : Ended)
     endSession(Run);
+}
+
+void SessionLinks::tick() {
+  const Milliseconds Now = monotonicNow();
+  const bool IsLate = Now - LastTick_ > LateTick;
+  LastTick_ = Now;
+  confirmReceipts(Now);
+  if (!IsLate) {
+    closeSilent(Now);
+    endSilent(Now);
+  }
   if (Now >= NextDial_)
     dialAll();
 }
--- a/transport/marjorambend/src/Transport/SessionLinks.h
+++ b/transport/marjorambend/src/Transport/SessionLinks.h
@@ -30,12 +30,23 @@
   /// Silence after which a session ends. Callers send a lost job again after
   /// 1,300 ms; by then the other side has noticed, too, and stopped its runs.
   Milliseconds SessionSilence_{450};
+  /// The same for both where nothing is awaited from the other side; two and a
+  /// half of its rare heartbeats.
+  Milliseconds IdleSilence_{2'500};
+  /// Time after which a message's receipt is told if nothing else is said; well
+  /// within ConnectionSilence_.
+  Milliseconds ConfirmWithin_{100};
   /// Time for a connection to be made and greeted.
   Milliseconds GreetingTimeout_{400};
   /// Pause between two attempts to reach an instance.
   Milliseconds Redial_{100};
-  /// Pause if it was never reached or is long gone.
+  /// Pause if it was never reached or is long gone; it doubles with each
+  /// failure up to the longest one.
   Milliseconds SlowRedial_{300};
+  Milliseconds SlowestRedial_{1'200};
+  /// Time after the start in which instances are looked for in the store before
+  /// the seeds are asked.
+  Milliseconds SeedsAfter_{1'500};
 };
 
 /// \brief What links tell their owner.
@@ -43,6 +54,8 @@
   std::function<void(const InstanceInfo &)> OnUp_;
   std::function<void(Incarnation)> OnDown_;
   std::function<void(Incarnation, FleetMessage)> OnMessage_;
+  /// Since when words of that instance are awaited, if they are.
+  std::function<std::optional<Milliseconds>(Incarnation)> AwaitedSince_;
   /// A frame of another instance could not be read.
   std::function<void(std::string_view Address)> OnRejected_;
 };
@@ -62,8 +75,12 @@
   /// \brief Opens the listener and begins to dial.
   tl::expected<void, ListenError> listen();
 
-  /// \brief Adds instances to be dialled; they stay until the process ends.
-  void addEndpoints(const std::set<Endpoint> &Endpoints);
+  /// \brief Keeps sessions with the instances there, from now on; sessions
+  /// with others stay until they end.
+  void keepLinked(const std::set<Endpoint> &Endpoints);
+
+  /// \brief Addresses that are dialled while no others are known.
+  void setSeeds(const std::set<Endpoint> &Seeds);
 
   /// \brief Sends a message; it is dropped if there is no session.
   void send(Incarnation To, const FleetMessage &Message);
@@ -83,10 +100,16 @@
   };
   struct DialState {
     Milliseconds NextAt_;
+    Milliseconds Pause_;             ///< Before the next attempt.
     std::optional<Incarnation> Run_; ///< Last seen there.
   };
 
   void tick();
+  void confirmReceipts(Milliseconds Now);
+  void closeSilent(Milliseconds Now);
+  void endSilent(Milliseconds Now);
+  Milliseconds silenceOf(const Session &State, Milliseconds HeardAt,
+                         Milliseconds Bound, Milliseconds Now) const;
   void dialAll();
   void dial(const Endpoint &To);
   Connection &addConnection(bufferevent *Buffer,
@@ -107,6 +130,10 @@
   SessionLinkEvents Events_;
   evconnlistener *Listener_ = nullptr;
   std::map<Endpoint, DialState> Endpoints_;
+  std::set<Endpoint> Wanted_;
+  std::set<Endpoint> Seeds_;
+  Milliseconds StartedAt_;
+  Milliseconds LastTick_;
   std::map<Connection *, std::unique_ptr<Connection>> Connections_;
   std::map<Incarnation, Entry> Sessions_;
   std::map<Incarnation, uint64_t> Nonces_; ///< Sessions begun with each run.
--- a/transport/test/SessionTests.cpp
+++ b/transport/test/SessionTests.cpp
@@ -87,6 +87,7 @@
   std::vector<Incarnation> Up_;
   std::vector<Incarnation> Down_;
   std::vector<uint64_t> Received_;
+  std::optional<Milliseconds> Awaited_; ///< Words of the other side.
   std::unique_ptr<SessionLinks> Links_;
 
   Linked(EventLoop &Loop, uint64_t Run, uint16_t Port) : Loop_(Loop) {
@@ -106,6 +107,7 @@
                   if (auto *M = std::get_if<PlaceWithdraw>(&Message))
                     Received_.push_back(M->Job_);
                 },
+            .AwaitedSince_ = [this](Incarnation) { return Awaited_; },
             .OnRejected_ = [](std::string_view) {}});
     CHECK(Links_->listen().has_value());
   }
@@ -140,8 +142,8 @@
 };
 
 TEST(LinksBetweenInstances, CarryMessagesInOrder) {
-  A_.Links_->addEndpoints({{"127.0.0.1", PortB_}});
-  B_.Links_->addEndpoints({{"127.0.0.1", PortA_}});
+  A_.Links_->keepLinked({{"127.0.0.1", PortB_}});
+  B_.Links_->keepLinked({{"127.0.0.1", PortA_}});
   until([&] { return A_.Up_.size() == 1 && B_.Up_.size() == 1; });
   for (uint64_t Number = 1; Number <= 100; ++Number)
     A_.Links_->send({2}, PlaceWithdraw{Number});
@@ -151,7 +153,7 @@
 }
 
 TEST(LinksBetweenInstances, NoticeAnEndedProcessAtOnce) {
-  A_.Links_->addEndpoints({{"127.0.0.1", PortB_}});
+  A_.Links_->keepLinked({{"127.0.0.1", PortB_}});
   until([&] { return A_.Up_.size() == 1; });
   B_.Links_.reset();
   until([&] { return A_.Down_.size() == 1; });
