Wait longer for workers while the own link is full; choose a worker by an index

A link of 2 Mbit/s with 20 KB in its queue is slower: what was given up was sent again. The time now follows what answers take (RFC 6298, 80 to 400 ms). - Each learnt change of a worker's pace was told to all coordinators with the worker's whole report; now its two fields, to the placer, once a tick. - Choosing a worker looked at all open ones for each task (157 us a job at 350 workers), and each pass tried all that waits. Workers stand in classes of pace by free room, a pass leaves out what asks for at least as much as a job that could not be placed.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -277,6 +277,7 @@
   }
   for (const auto &[Id, Why] : Dropped)
     dropHold(T, Id, Why);
+  tellPaces(T, PaceNews::Changed);
   if (T.Now_ >= T.State_.NextHoldReview_ || !Dropped.empty())
     chooseHolds(T);
 }
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -117,6 +117,7 @@
       tellAllHolds(T_, From_);
   }
   void operator()(const WorkersHeld &M) const { viewWorkers(T_, From_, M); }
+  void operator()(const WorkerPaces &M) const { takePaces(T_, From_, M); }
   void operator()(const WorkersDropped &M) const { dropWorkers(T_, From_, M); }
   void operator()(PlaceRequest &M) const {
     requestPlaces(T_, From_, std::move(M));
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -24,6 +24,17 @@
   uint64_t HighestToken_ = 0; ///< None that the sender has used is above it.
 };
 
+/// \brief How fast a held worker is.
+struct WorkerPace {
+  std::string Id_;
+  double Slowness_ = 1.0; ///< Learnt run time by the estimates.
+};
+
+/// \brief What was learnt of held workers since the placer was last told.
+struct WorkerPaces {
+  std::vector<WorkerPace> Workers_;
+};
+
 /// \brief Workers that the sender holds no longer.
 struct WorkersDropped {
   std::vector<std::string> Ids_;
@@ -149,7 +160,7 @@
     std::variant<InstanceStatus, WorkersHeld, WorkersDropped, PlaceRequest,
                  PlaceWithdraw, PlaceRelease, PlaceAdopt, Placed, PlaceRefused,
                  StartOrder, StopOrder, RunEnded, ListNews, ConfigNews,
-                 ConfigFreshness, RosterNews, RosterQuery>;
+                 ConfigFreshness, WorkerPaces, RosterNews, RosterQuery>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -78,10 +78,10 @@
   /// Run times that differ by less than this share count as equal; learnt
   /// slowness varies by about this much by itself.
   double SimilarRunTime_ = 0.35;
-  /// How much earlier a job is taken for each class of urgency; half of the
-  /// slack of the users' shortest jobs, so that urgency decides among jobs of
-  /// like slack and does not starve the others.
-  Milliseconds PriorityLead_{150};
+  /// How much earlier a job is taken for each class of urgency; the slack of
+  /// the users' shortest jobs, so that urgency decides among jobs of like slack
+  /// and does not starve the others.
+  Milliseconds PriorityLead_{100};
   /// Whether a job that can only be late is refused at once while others that
   /// can be in time wait; off for comparison.
   bool RefusesLate_ = true;
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -45,6 +45,8 @@
 void takeReports(FleetTurn &T, const WorkersRead &Read);
 void chooseHolds(FleetTurn &T);
 void tellAllHolds(FleetTurn &T, Incarnation To);
+enum class PaceNews : uint8_t { Changed, All };
+void tellPaces(FleetTurn &T, PaceNews Which);
 /// @}
 
 /// What is read in the platform's store and passed on; see News.cpp.
@@ -73,6 +75,7 @@
   State.TokenBase_ = std::max(State.TokenBase_, Token);
 }
 void dropWorkers(FleetTurn &T, Incarnation Holder, const WorkersDropped &Held);
+void takePaces(FleetTurn &T, Incarnation Holder, const WorkerPaces &News);
 void requestPlaces(FleetTurn &T, Incarnation Origin, PlaceRequest Request);
 void withdrawPlaces(FleetTurn &T, Incarnation Origin, const PlaceWithdraw &Job);
 void releasePlace(FleetTurn &T, Incarnation Origin, const PlaceRelease &Place);
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -82,13 +82,26 @@
 }
 
 void tellIfChanged(FleetTurn &T, WorkerHold &Hold) {
-  const double Change =
-      std::abs(Hold.Slowness_ - Hold.ToldSlowness_) / Hold.ToldSlowness_;
-  if (Hold.WasToldOpen_ != isOpen(Hold, T.Now_) ||
-      Change > T.State_.Options_.Holder_.TellChange_)
+  if (Hold.WasToldOpen_ != isOpen(Hold, T.Now_))
     tellHold(T, Hold);
 }
 
+// Only the placer needs to know.
+void tellPaces(FleetTurn &T, PaceNews Which) {
+  const double Change =
+      Which == PaceNews::All ? -1.0 : T.State_.Options_.Holder_.TellChange_;
+  WorkerPaces News;
+  for (auto &[Id, Hold] : T.State_.Holds_) {
+    if (std::abs(Hold.Slowness_ - Hold.ToldSlowness_) <=
+        Change * Hold.ToldSlowness_)
+      continue;
+    Hold.ToldSlowness_ = Hold.Slowness_;
+    News.Workers_.push_back({Id, Hold.Slowness_});
+  }
+  if (!News.Workers_.empty())
+    tell(T, T.State_.Placer_, std::move(News));
+}
+
 static void learnFromEnd(FleetTurn &T, WorkerHold &Hold, const RunId &Id,
                          const HeldRun &Run, RunEnd End) {
   const HolderOptions &Options = T.State_.Options_.Holder_;
--- a/coordination/marjorambend/src/Fleet/Placement.h
+++ b/coordination/marjorambend/src/Fleet/Placement.h
@@ -26,12 +26,26 @@
 /// \brief Chooses a worker with room: the shortest expected run, among similar
 /// ones a worker of the caller's data centre, among those the tightest fit.
 ///
+/// Of each class of pace and data centre only the tightest fit is looked at, so
+/// that the cost does not grow with the workers.
+///
 /// \returns the worker's entry, or the end of the workers if none will do.
 /// \sa PlacerOptions::SimilarRunTime_
 std::map<std::string, PlacerWorker>::iterator
 chooseWorkerFor(PlacerState &Placing, const TaskWish &Wish,
                 const PlacerOptions &Options, Milliseconds Now);
 
+/// \brief Class of workers of about the same pace; greater ones are slower.
+int paceClass(double Slowness);
+
+/// \brief Gives the worker its place in the index, or takes it out if it is
+/// closed; to be called after each change of it.
+void indexWorker(PlacerState &Placing, const std::string &Id,
+                 PlacerWorker &Worker);
+
+/// \brief Forgets a worker.
+void eraseWorker(PlacerState &Placing, const std::string &Id);
+
 /// \brief Whether \p Worker could run tasks of \p Job when it is empty.
 bool isEligible(const PlacerJob &Job, const PlacerWorker &Worker);
 
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -5,33 +5,11 @@
 #include "marjorambend/src/Fleet/Placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 namespace marjorambend::internal {
 
-// Keeps the worker's place among the open ones by free room.
-static void indexWorker(PlacerState &Placing, const std::string &Id,
-                        PlacerWorker &Worker) {
-  if (Worker.IndexedFree_ >= 0)
-    Placing.ByFree_.erase({Worker.IndexedFree_, Id});
-  Worker.IndexedFree_ = -1;
-  const int64_t Free =
-      Worker.Held_.Report_.Capacity_.MilliCores_ - Worker.Reserved_.MilliCores_;
-  if (!Worker.Held_.IsOpen_ || Free < 0)
-    return;
-  Worker.IndexedFree_ = Free;
-  Placing.ByFree_.insert({Free, Id});
-}
-
-static void eraseWorker(PlacerState &Placing, const std::string &Id) {
-  const auto Known = Placing.Workers_.find(Id);
-  if (Known == Placing.Workers_.end())
-    return;
-  if (Known->second.IndexedFree_ >= 0)
-    Placing.ByFree_.erase({Known->second.IndexedFree_, Id});
-  Placing.Workers_.erase(Known);
-}
-
 static void addReserved(PlacerState &Placing, const std::string &Id,
                         const Room &More) {
   const auto Found = Placing.Workers_.find(Id);
@@ -75,6 +53,21 @@
   noteToken(State, Held.HighestToken_);
 }
 
+static void setPace(PlacerState &Placing, const WorkerPace &News,
+                    PlacerWorker &Worker) {
+  Worker.Held_.Slowness_ = News.Slowness_;
+  indexWorker(Placing, News.Id_, Worker);
+}
+
+void takePaces(FleetTurn &T, Incarnation Holder, const WorkerPaces &News) {
+  PlacerState &Placing = T.State_.Placing_;
+  for (const WorkerPace &One : News.Workers_) {
+    const auto Known = Placing.Workers_.find(One.Id_);
+    if (Known != Placing.Workers_.end() && Known->second.Holder_ == Holder)
+      setPace(Placing, One, Known->second);
+  }
+}
+
 void dropWorkers(FleetTurn &T, Incarnation Holder,
                  const WorkersDropped &Dropped) {
   FleetInstance &State = T.State_;
@@ -221,25 +214,36 @@
   return *Middle;
 }
 
-static Milliseconds retryAfter(FleetTurn &T) {
+// Milliseconds for which the open workers have work that waits.
+static double backlog(FleetTurn &T) {
   const PlacerOptions &Options = T.State_.Options_.Placer_;
-  const PlacerState &Placing = T.State_.Placing_;
+  PlacerState &Placing = T.State_.Placing_;
+  if (T.Now_ - Placing.BacklogAt_ < Options.UsualAge_)
+    return Placing.Backlog_;
+  Placing.BacklogAt_ = T.Now_;
   double Work = 0; // milli-core milliseconds
   double Cores = 0;
-  for (const auto &[Key, Job] : Placing.Jobs_)
-    Work += static_cast<double>(Job.Request_.Tasks_.size()) *
-            static_cast<double>(Job.Request_.Needs_.MilliCores_) *
-            static_cast<double>(Job.Request_.Estimate_.Count_);
+  for (const WaitingJob &One : Placing.Waiting_) {
+    const PlaceRequest &Request = Placing.Jobs_.at(One.Key_).Request_;
+    Work += static_cast<double>(Request.Tasks_.size()) *
+            static_cast<double>(Request.Needs_.MilliCores_) *
+            static_cast<double>(Request.Estimate_.Count_);
+  }
   for (const auto &[Id, Worker] : Placing.Workers_) {
     if (Worker.Held_.IsOpen_)
       Cores += static_cast<double>(Worker.Held_.Report_.Capacity_.MilliCores_);
   }
-  // Spread, so that those refused together do not return together.
-  const double Spread = 1.0 + uniformUnit(T.State_.Generator_);
-  const double Backlog =
+  Placing.Backlog_ =
       Cores > 0 ? Work / Cores
                 : static_cast<double>(Options.NoWorkersRetryAfter_.Count_);
-  const auto Wait = static_cast<int64_t>(Backlog * Spread);
+  return Placing.Backlog_;
+}
+
+static Milliseconds retryAfter(FleetTurn &T) {
+  const PlacerOptions &Options = T.State_.Options_.Placer_;
+  // Spread, so that those refused together do not return together.
+  const double Spread = 1.0 + uniformUnit(T.State_.Generator_);
+  const auto Wait = static_cast<int64_t>(backlog(T) * Spread);
   return {std::clamp(Wait, Options.LeastRetryAfter_.Count_,
                      Options.MostRetryAfter_.Count_)};
 }
@@ -264,13 +268,55 @@
       {{"why", std::string(Why)},
        {"waited_ms", text(T.Now_ - Job.ArrivedAt_)},
        {"waiting_jobs", std::to_string(T.State_.Placing_.Waiting_.size())},
-       {"open_workers", std::to_string(T.State_.Placing_.ByFree_.size())},
+       {"open_workers", std::to_string(T.State_.Placing_.Open_.Free_.size())},
        {"view_age_ms", text(oldestView(T))},
        {"retry_after_ms", text(ComeBack)}});
   Job.Request_.Tasks_.clear();
   tell(T, Job.Origin_, PlaceRefused{Job.Request_.Job_, ComeBack});
 }
 
+/// \brief What could not be placed in one pass; nothing that asks for as much
+/// of as fast a worker can be.
+class UnplaceableWishes {
+public:
+  bool covers(const PlacerJob &Job, double MostSlowness) const {
+    return isPlain(Job) &&
+           std::any_of(Known_.begin(), Known_.end(), [&](const Wish &One) {
+             return One.Service_ == Job.Request_.Service_ &&
+                    fits(One.Needs_, Job.Request_.Needs_) &&
+                    MostSlowness <= One.MostSlowness_;
+           });
+  }
+  void add(const PlacerJob &Job, double MostSlowness) {
+    if (isPlain(Job) && Known_.size() < MostKnown)
+      Known_.push_back(
+          {Job.Request_.Service_, Job.Request_.Needs_, MostSlowness});
+  }
+
+private:
+  struct Wish {
+    std::string Service_;
+    Room Needs_;
+    double MostSlowness_;
+  };
+  // More are rarely of use: jobs of one pass ask for much the same.
+  static constexpr std::size_t MostKnown = 16;
+
+  static bool isPlain(const PlacerJob &Job) {
+    return Job.Request_.Label_.empty() && Job.Request_.DataRack_.empty() &&
+           Job.Request_.MaxPerWorker_ == 0;
+  }
+  std::vector<Wish> Known_;
+};
+
+// How slow a worker may be, by the usual one, to end the job in time.
+static double mostSlowness(const PlacerJob &Job, Milliseconds Now) {
+  if (latestStart(Job) < Now || Job.Request_.Estimate_.Count_ <= 0)
+    return std::numeric_limits<double>::infinity();
+  return static_cast<double>((Job.ObjectiveAt_ - Now).Count_) /
+         static_cast<double>(Job.Request_.Estimate_.Count_);
+}
+
 static void placeJob(FleetTurn &T, PlacerJob &Job, double Usual) {
   PlacerState &Placing = T.State_.Placing_;
   TaskWish Wish{.Job_ = Job, .UsualSlowness_ = Usual};
@@ -283,11 +329,12 @@
         chooseWorkerFor(Placing, Wish, T.State_.Options_.Placer_, T.Now_);
     if (Chosen == Placing.Workers_.end())
       break;
-    Answer.Tasks_.push_back({.Task_ = Tasks.front(),
-                             .Worker_ = Chosen->first,
-                             .Holder_ = Chosen->second.Holder_,
-                             .FreeMilliCores_ = Chosen->second.IndexedFree_,
-                             .ViewAge_ = viewAge(T, Chosen->second.Holder_)});
+    Answer.Tasks_.push_back(
+        {.Task_ = Tasks.front(),
+         .Worker_ = Chosen->first,
+         .Holder_ = Chosen->second.Holder_,
+         .FreeMilliCores_ = Chosen->second.Key_->FreeMilliCores_,
+         .ViewAge_ = viewAge(T, Chosen->second.Holder_)});
     addReserved(Placing, Chosen->first, Job.Request_.Needs_);
     Job.Reservations_.push_back({Tasks.front(), Chosen->first});
     Tasks.erase(Tasks.begin());
@@ -296,15 +343,19 @@
     tell(T, Job.Origin_, std::move(Answer));
 }
 
-static void placeOrRefuse(FleetTurn &T, const PlacerJobKey &Key,
-                          bool IsRefused) {
+static void placeOrRefuse(FleetTurn &T, const PlacerJobKey &Key, bool IsRefused,
+                          UnplaceableWishes &Unplaceable) {
   PlacerJob &Job = T.State_.Placing_.Jobs_.at(Key);
+  const double MostSlowness = mostSlowness(Job, T.Now_);
   if (T.Now_ + Job.Request_.Estimate_ > Job.GiveUpAt_)
     refuse(T, Job, "too little time is left");
   else if (IsRefused && Job.Reservations_.empty())
     refuse(T, Job, "late, while others can be in time");
-  else
+  else if (!Unplaceable.covers(Job, MostSlowness)) {
     placeJob(T, Job, usualSlowness(T));
+    if (!Job.Request_.Tasks_.empty())
+      Unplaceable.add(Job, MostSlowness);
+  }
   forgetIfDone(T.State_.Placing_, Key);
 }
 
@@ -320,7 +371,7 @@
   std::vector<PlacerJobKey> InTime;
   std::vector<PlacerJobKey> Late;
   const int64_t MostFree =
-      Placing.ByFree_.empty() ? -1 : Placing.ByFree_.rbegin()->first;
+      Placing.Open_.Free_.empty() ? -1 : *Placing.Open_.Free_.rbegin();
   bool IsOverloaded = false;
   for (const WaitingJob &One : Placing.Waiting_) {
     if (One.LatestStart_ < T.Now_)
@@ -330,15 +381,16 @@
     else
       IsOverloaded = true;
   }
+  UnplaceableWishes Unplaceable;
   for (const PlacerJobKey &Key : InTime) {
-    placeOrRefuse(T, Key, false);
+    placeOrRefuse(T, Key, false, Unplaceable);
     const auto Job = Placing.Jobs_.find(Key);
     IsOverloaded = IsOverloaded || (Job != Placing.Jobs_.end() &&
                                     !Job->second.Request_.Tasks_.empty());
   }
   const bool IsRefused = IsOverloaded && T.State_.Options_.Placer_.RefusesLate_;
   for (const PlacerJobKey &Key : Late)
-    placeOrRefuse(T, Key, IsRefused);
+    placeOrRefuse(T, Key, IsRefused, Unplaceable);
 }
 
 } // namespace marjorambend::internal
--- a/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
@@ -47,6 +47,7 @@
   log(T, "placer", 0,
       {{"other", Best == nullptr ? State.Self_.Name_ : Best->Name_}});
   moveToPlacer(T, Before);
+  tellPaces(T, PaceNews::All);
 }
 
 } // namespace marjorambend::internal
--- a/coordination/test/Fleet/PlacementTests.cpp
+++ b/coordination/test/Fleet/PlacementTests.cpp
@@ -18,7 +18,6 @@
   PlacerWorker &add(const std::string &Id, double Slowness, int64_t Free,
                     std::string DataCentre = "near") {
     PlacerWorker &Worker = Placing_.Workers_[Id];
-    Placing_.ByFree_.insert({Free, Id});
     Worker.Held_ = {.Report_ = {.Id_ = Id,
                                 .Service_ = "s",
                                 .DataCentre_ = std::move(DataCentre),
@@ -29,6 +28,8 @@
     return Worker;
   }
   std::string choose(std::optional<Milliseconds> EndBefore = std::nullopt) {
+    for (auto &[Id, Worker] : Placing_.Workers_)
+      indexWorker(Placing_, Id, Worker);
     const auto Found = chooseWorkerFor(
         Placing_, {.Job_ = Job_, .EndBefore_ = EndBefore}, Options_, {0});
     return Found == Placing_.Workers_.end() ? "none" : Found->first;
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -285,6 +285,8 @@
               renderGauge("store_calls", Store_.calls()) +
               renderCallTimes(Store_.times(), "store_call_milliseconds") +
               renderCallTimes(Workers_.times(), "worker_call_milliseconds") +
+              renderGauge("worker_call_patience_milliseconds",
+                          static_cast<uint64_t>(Workers_.patience().Count_)) +
               renderHistogramType("session_confirm_milliseconds") +
               renderHistogram(Links_.confirmTimes(),
                               "session_confirm_milliseconds", "") +
--- /dev/null
+++ b/transport/marjorambend/src/Transport/CallPatience.cpp
@@ -0,0 +1,43 @@
+#include "marjorambend/src/Transport/CallPatience.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marjorambend {
+
+// Gains of RFC 6298.
+static constexpr double MeanGain = 1.0 / 8;
+static constexpr double DeviationGain = 1.0 / 4;
+static constexpr double Deviations = 4;
+static constexpr double SilenceGain = 1.0 / 16;
+// A worker that loses some of its answers is no reason to wait longer for all;
+// users expect a tenth.
+static constexpr double ManySilent = 0.35;
+
+void noteAnswer(CallPatience &Known, Milliseconds Took) {
+  const auto Sample = static_cast<double>(Took.Count_);
+  if (Known.Mean_ == 0) {
+    Known.Mean_ = Sample;
+    Known.Deviation_ = Sample / 2;
+  } else {
+    Known.Deviation_ +=
+        DeviationGain * (std::abs(Sample - Known.Mean_) - Known.Deviation_);
+    Known.Mean_ += MeanGain * (Sample - Known.Mean_);
+  }
+  Known.Silence_ -= SilenceGain * Known.Silence_;
+}
+
+void noteSilence(CallPatience &Known) {
+  Known.Silence_ += SilenceGain * (1 - Known.Silence_);
+}
+
+Milliseconds patienceOf(const CallPatience &Known,
+                        const PatienceBounds &Bounds) {
+  double Wait = Known.Mean_ + Deviations * Known.Deviation_;
+  Wait = std::max(Wait, static_cast<double>(Bounds.Least_.Count_));
+  if (Known.Silence_ > ManySilent)
+    Wait *= Known.Silence_ > 2 * ManySilent ? 4 : 2;
+  return {std::min(static_cast<int64_t>(std::ceil(Wait)), Bounds.Most_.Count_)};
+}
+
+} // namespace marjorambend
--- a/transport/marjorambend/src/Transport/FleetCodec.cpp
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -171,6 +171,15 @@
     return {fleetwire::Body::RosterNews,
             fleetwire::CreateRosterNews(B_, All).Union()};
   }
+  FleetBody operator()(const WorkerPaces &M) const {
+    std::vector<flatbuffers::Offset<fleetwire::WorkerPace>> Workers;
+    for (const WorkerPace &One : M.Workers_)
+      Workers.push_back(
+          fleetwire::CreateWorkerPace(B_, text(One.Id_), One.Slowness_));
+    const auto All = B_.CreateVector(Workers);
+    return {fleetwire::Body::WorkerPaces,
+            fleetwire::CreateWorkerPaces(B_, All).Union()};
+  }
   FleetBody operator()(const RosterQuery &) const {
     return {fleetwire::Body::RosterQuery,
             fleetwire::CreateRosterQuery(B_).Union()};
@@ -304,6 +313,15 @@
   return Given;
 }
 
+static WorkerPaces toPaces(const fleetwire::WorkerPaces &M) {
+  WorkerPaces Given;
+  if (M.workers() == nullptr)
+    return Given;
+  for (const auto *One : *M.workers())
+    Given.Workers_.push_back({fromWire(One->id()), One->slowness()});
+  return Given;
+}
+
 static RosterNews toRoster(const fleetwire::RosterNews &M) {
   RosterNews Given;
   if (M.instances() == nullptr)
@@ -361,6 +379,8 @@
   }
   case fleetwire::Body::RosterNews:
     return toRoster(*Frame.body_as_RosterNews());
+  case fleetwire::Body::WorkerPaces:
+    return toPaces(*Frame.body_as_WorkerPaces());
   case fleetwire::Body::RosterQuery:
     return RosterQuery{};
   case fleetwire::Body::Confirmation:
