--- /dev/null
+++ b/coordination/test/Fleet/RosterTests.cpp
@@ -0,0 +1,264 @@
+#include "TestMain.h"
+
+#include "Fleet/Story.h"
+
+#include <map>
+
+using namespace marjorambend;
+using namespace marjorambend::test;
+
+static InstanceInfo instance(const std::string &Name, const std::string &Centre,
+                             uint32_t CpuShare) {
+  return {.Name_ = Name,
+          .DataCentre_ = Centre,
+          .CpuShare_ = CpuShare,
+          .Address_ = Name,
+          .Port_ = 1};
+}
+
+/// Two data centres of three strong and four weak instances each.
+TEST_GROUP(ARoster) {
+  Roster Known_;
+  RosterOptions Options_;
+  std::map<std::string, Presence> Seen_;
+  Milliseconds Now_{1'000};
+
+  void setup() override {
+    std::vector<InstanceInfo> All;
+    for (const char *Centre : {"a", "b"}) {
+      for (int Index = 0; Index < 7; ++Index)
+        All.push_back(instance(Centre + std::to_string(Index), Centre,
+                               Index < 3 ? 500 : 90));
+    }
+    setRoster(Known_, All, instance("a3", "a", 90));
+  }
+  void review(const std::string &Self) {
+    reviewRoster(Known_, Options_, instance(Self, Self.substr(0, 1), 90), Now_,
+                 [this](const InstanceInfo &Info) {
+                   const auto Found = Seen_.find(Info.Name_);
+                   return Found == Seen_.end() ? Presence::Absent
+                                               : Found->second;
+                 });
+  }
+  void reach(const std::vector<std::string> &Names) {
+    for (const std::string &Name : Names)
+      Seen_[Name] = Presence::Present;
+  }
+  void lose(const std::string &Name) {
+    Seen_.erase(Name);
+    noteLost(Known_, Name);
+  }
+  std::string wanted() const {
+    std::string Names;
+    for (const auto &[Address, Port] : Known_.Wanted_)
+      Names += Address + ' ';
+    return Names;
+  }
+};
+
+TEST(ARoster, HasTheStrongestOfEachDataCentreCoordinate) {
+  review("a3");
+  STRCMP_EQUAL("a0 a1 a2 b0 b1 b2 ", wanted().c_str());
+  CHECK_FALSE(Known_.IsChosen_);
+  review("a1");
+  STRCMP_EQUAL("a0 a2 b0 b1 b2 ", wanted().c_str());
+  CHECK(Known_.IsChosen_);
+}
+
+TEST(ARoster, HasMoreCoordinateIfTheyAreAsStrong) {
+  std::vector<InstanceInfo> All;
+  for (int Index = 0; Index < 9; ++Index)
+    All.push_back(instance("a" + std::to_string(Index), "a", 120));
+  setRoster(Known_, All, instance("a8", "a", 120));
+  review("a8");
+  STRCMP_EQUAL("a0 a1 a2 a3 a4 a5 ", wanted().c_str());
+  CHECK_FALSE(Known_.IsChosen_);
+}
+
+TEST(ARoster, CountsWhomItHasNotReachedForAWhile) {
+  reach({"a1", "a2"});
+  review("a3");
+  CHECK_FALSE(Known_.IsChosen_);
+  Now_ = Now_ + Options_.ReachWithin_;
+  review("a3");
+  CHECK(Known_.IsChosen_);
+}
+
+TEST(ARoster, ReplacesWhomItHasLostAtOnce) {
+  reach({"a0", "a1", "a2", "b0", "b1", "b2"});
+  review("a3");
+  CHECK_FALSE(Known_.IsChosen_);
+  lose("a0");
+  lose("b2");
+  review("a3");
+  CHECK(Known_.IsChosen_);
+  STRCMP_EQUAL("a0 a1 a2 b0 b1 b2 b3 ", wanted().c_str());
+}
+
+TEST(ARoster, ReplacesWhoeverIsLeaving) {
+  reach({"a0", "a1", "a2"});
+  Seen_["a1"] = Presence::Leaving;
+  review("a3");
+  CHECK(Known_.IsChosen_);
+}
+
+TEST(ARoster, LetsAStandInGoOnForAWhile) {
+  reach({"a0", "a1", "a2"});
+  lose("a0");
+  review("a3");
+  reach({"a0"});
+  Now_ = Now_ + Options_.StandIn_ - Milliseconds{1};
+  review("a3");
+  CHECK(Known_.IsChosen_);
+  Now_ = Now_ + Milliseconds{1};
+  review("a3");
+  CHECK_FALSE(Known_.IsChosen_);
+}
+
+TEST(ARoster, KeepsWhatItKnowsOfThoseThatStay) {
+  reach({"a0", "a1"});
+  lose("a2");
+  setRoster(Known_,
+            std::vector<InstanceInfo>{instance("a0", "a", 500),
+                                      instance("a1", "a", 500),
+                                      instance("a2", "a", 500)},
+            instance("a3", "a", 90));
+  review("a3");
+  CHECK(Known_.IsChosen_);
+}
+
+// A machine that was replaced has its name at another address.
+TEST(ARoster, BeginsAnewWithAnotherAddress) {
+  lose("a0");
+  InstanceInfo Moved = instance("a0", "a", 500);
+  Moved.Address_ = "elsewhere";
+  setRoster(Known_,
+            std::vector<InstanceInfo>{Moved, instance("a1", "a", 500),
+                                      instance("a2", "a", 500)},
+            instance("a3", "a", 90));
+  review("a3");
+  CHECK_FALSE(Known_.IsChosen_);
+}
+
+/// One instance among coordinators, step by step.
+TEST_GROUP(AnInstanceAmongOthers) {
+  Story Weak_{{.Name_ = "w", .DataCentre_ = "dc", .CpuShare_ = 90},
+              Story::Instances::Unread};
+  std::vector<InstanceInfo> All_;
+
+  void setup() override {
+    for (uint64_t Run : {1, 2, 3}) {
+      All_.push_back(instance("s" + std::to_string(Run), "dc", 500));
+      All_.back().Run_ = {Run};
+    }
+  }
+  void meetAll() {
+    Weak_.give(InstancesRead{All_});
+    for (const InstanceInfo &Info : All_) {
+      Weak_.give(InstanceUp{Info});
+      hear(Info.Run_);
+    }
+  }
+  void hear(Incarnation Run) {
+    Weak_.give(InstanceSaid{
+        Run, InstanceStatus{.IsReady_ = true, .IsCoordinating_ = true}});
+  }
+  static std::size_t beatsTo(uint64_t Run, const FleetActions &Wanted) {
+    const auto Told = only<TellInstance>(Wanted);
+    return static_cast<std::size_t>(
+        std::count_if(Told.begin(), Told.end(), [Run](const TellInstance &One) {
+          return One.To_ == Incarnation{Run} &&
+                 std::holds_alternative<InstanceStatus>(One.Message_);
+        }));
+  }
+};
+
+TEST(AnInstanceAmongOthers, LinksItselfToCoordinatorsAndHoldsNothing) {
+  const auto Links = only<LinkInstances>(Weak_.give(InstancesRead{All_}));
+  LONGS_EQUAL(1, Links.size());
+  LONGS_EQUAL(3, Links[0].Addresses_.size());
+  meetAll();
+  Weak_.give(WorkersRead{{Story::worker()}});
+  Weak_.pass(3'000);
+  CHECK(Weak_.State_.Holds_.empty());
+  CHECK_FALSE(shouldReadList(Weak_.State_, Weak_.Now_));
+}
+
+TEST(AnInstanceAmongOthers, IsReadyOnceACoordinatorIs) {
+  Weak_.give(InstancesRead{All_});
+  Weak_.give(ConfigRead{.Config_ = {.Version_ = 1}});
+  CHECK_FALSE(isReady(Weak_.State_));
+  meetAll();
+  CHECK(isReady(Weak_.State_));
+}
+
+TEST(AnInstanceAmongOthers, SpeaksUpRarelyWhereNoWorkIsShared) {
+  meetAll();
+  Weak_.pass(100);
+  CHECK(beatsTo(2, Weak_.pass(3'000)) <= 3);
+}
+
+TEST(AnInstanceAmongOthers, SpeaksUpOftenToWhomItWaitsFor) {
+  meetAll();
+  Weak_.give(ConfigRead{.Config_ = {.Version_ = 1,
+                                    .Routes_ = {{.Name_ = "r",
+                                                 .Host_ = "h",
+                                                 .Prefix_ = "/p/",
+                                                 .Service_ = "service"}}}});
+  Weak_.pass(20);
+  Weak_.give(Weak_.job());
+  CHECK(Weak_.State_.Placer_ == Incarnation{1});
+  CHECK(beatsTo(1, Weak_.pass(980)) >= 6);
+  CHECK(sharedSince(Weak_.State_, {1}).has_value());
+  CHECK_FALSE(sharedSince(Weak_.State_, {2}).has_value());
+}
+
+TEST(AnInstanceAmongOthers, AsksAnotherOneWhereTheStoreCannotBeRead) {
+  Story New({.Name_ = "n", .DataCentre_ = "dc", .CpuShare_ = 90},
+            Story::Instances::Unread);
+  const auto Told = only<TellInstance>(New.give(InstanceUp{All_[0]}));
+  CHECK(std::any_of(Told.begin(), Told.end(), [](const TellInstance &One) {
+    return std::holds_alternative<RosterQuery>(One.Message_);
+  }));
+  const auto Links = only<LinkInstances>(
+      New.give(InstanceSaid{All_[0].Run_, RosterNews{All_}}));
+  LONGS_EQUAL(1, Links.size());
+  LONGS_EQUAL(3, Links[0].Addresses_.size());
+}
+
+TEST(AnInstanceAmongOthers, TellsWhichInstancesItKnows) {
+  meetAll();
+  const auto Told =
+      only<TellInstance>(Weak_.give(InstanceSaid{All_[1].Run_, RosterQuery{}}));
+  LONGS_EQUAL(1, Told.size());
+  LONGS_EQUAL(4, std::get<RosterNews>(Told[0].Message_).Instances_.size());
+}
+
+// Load pattern: a slow machine reads what it was told only after its ticks.
+TEST(AnInstanceAmongOthers, JudgesNoSilenceAfterALateTick) {
+  meetAll();
+  Weak_.pass(20);
+  CHECK(Weak_.State_.Placer_ == Incarnation{1});
+  Weak_.give(ConfigRead{.Config_ = {.Version_ = 1}});
+  Weak_.pass(2'260);
+  Weak_.freeze(300);
+  Weak_.give(FleetTick{});
+  CHECK(Weak_.State_.Placer_ == Incarnation{1});
+  for (const InstanceInfo &Info : All_)
+    hear(Info.Run_);
+  Weak_.pass(40);
+  CHECK(Weak_.State_.Placer_ == Incarnation{1});
+}
+
+TEST(AnInstanceAmongOthers, TellsANewCoordinatorWhatItHolds) {
+  Story Strong{{.Name_ = "s", .DataCentre_ = "dc", .CpuShare_ = 500}};
+  Strong.prepare();
+  Strong.give(InstanceUp{All_[0]});
+  const auto Told = only<TellInstance>(Strong.give(
+      InstanceSaid{All_[0].Run_,
+                   InstanceStatus{.IsReady_ = true, .IsCoordinating_ = true}}));
+  CHECK(std::any_of(Told.begin(), Told.end(), [](const TellInstance &One) {
+    const auto *Held = std::get_if<WorkersHeld>(&One.Message_);
+    return Held != nullptr && Held->Workers_.size() == 1;
+  }));
+}
--- a/coordination/test/Fleet/Story.h
+++ b/coordination/test/Fleet/Story.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_TEST_FLEET_STORY_H
 #define MARJORAMBEND_TEST_FLEET_STORY_H
 
+#include <algorithm>
 #include <marjorambend/Fleet>
 #include <string>
 #include <vector>
@@ -10,10 +11,14 @@
 /// \brief One instance that holds one worker, step by step.
 class Story {
 public:
-  explicit Story(FleetOptions Options = {.Name_ = "a", .DataCentre_ = "dc"})
+  enum class Instances : uint8_t { Read, Unread };
+
+  explicit Story(FleetOptions Options = {.Name_ = "a", .DataCentre_ = "dc"},
+                 Instances Others = Instances::Read)
       : State_(makeFleetInstance(Options, Options.Name_.front())) {
     pass(0);
-    give(InstancesRead{});
+    if (Others == Instances::Read)
+      give(InstancesRead{});
   }
 
   FleetActions give(FleetEvent Event) {
--- a/coordination/test/Simulation/FleetWorld.cpp
+++ b/coordination/test/Simulation/FleetWorld.cpp
@@ -361,6 +361,8 @@
       const uint64_t Session = To ? Linked_[std::minmax(Index, *To)] : 0;
       if (Session == 0 || Nodes_[Index].SessionTo_[*To] != Session)
         continue;
+      ++Result_.Messages_[Nodes_[Index].Name_];
+      ++Result_.Messages_[Nodes_[*To].Name_];
       const bool IsNear = Nodes_[Index].DataCentre_ == Nodes_[*To].DataCentre_;
       after(IsNear ? NearTrip : FarTrip,
             [this, To = *To, Index, Epoch = Nodes_[*To].Epoch_, Session,
--- a/coordination/test/Simulation/FleetWorld.h
+++ b/coordination/test/Simulation/FleetWorld.h
@@ -107,6 +107,8 @@
   uint64_t Starts_ = 0;
   uint64_t RejectedStarts_ = 0;
   double WorthShare_ = 0;
+  /// Messages that each instance has told or was told, by name.
+  std::map<std::string, uint64_t> Messages_;
 };
 
 /// \brief Instances, workers, callers and their faults on virtual time.
