Do not place a job at a holder that its origin cannot reach; hear holders that hand over

Cause, from reading: with sessions to coordinators only, an origin may have none with the holder of a chosen worker (a stand-in that hands over, a cut). It asked again at once, and the placer chose the next worker of the same holder, until the job's time was over. The request now names such holders. A holder that coordinates no more still counts as one whose silence is noticed soon.

--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -55,6 +55,8 @@
   std::string Label_;
   std::string DataRack_;
   uint32_t MaxPerWorker_ = 0;
+  /// Holders that the origin cannot reach.
+  std::vector<Incarnation> Avoid_;
 };
 
 /// \brief The tasks of a job that still wait are not wanted any more.
--- a/coordination/marjorambend/src/Fleet/Heartbeats.cpp
+++ b/coordination/marjorambend/src/Fleet/Heartbeats.cpp
@@ -29,8 +29,8 @@
 }
 
 // Those whose silence has to be noticed soon: who runs tasks of ours, whose
-// tasks run here, who waits for a place here, or places for us; and the
-// coordinators among themselves, whose tokens and workers must not be missed.
+// tasks run here, who waits for a place here or places for us, who holds
+// workers that may be chosen here.
 static std::set<Incarnation> sharers(const FleetInstance &State) {
   std::set<Incarnation> Sharing;
   for (const auto &[Number, Job] : State.Jobs_) {
@@ -49,16 +49,24 @@
   }
   for (const auto &[Key, Job] : State.Placing_.Jobs_)
     Sharing.insert(Key.first);
+  for (const auto &[Id, Run] : State.HeldByOthers_)
+    Sharing.insert(Run);
   return Sharing;
 }
 
+// Coordinators, and whoever still holds workers, among themselves: their tokens
+// and workers must not be missed.
+static bool isAmongHolders(const FleetInstance &State,
+                           const FleetMember &Other) {
+  return Other.Status_.IsCoordinating_ &&
+         (State.IsCoordinating_ || !State.Holds_.empty());
+}
+
 static void noteSharers(FleetTurn &T) {
   FleetInstance &State = T.State_;
   const std::set<Incarnation> Sharing = sharers(State);
   for (auto &[Run, Other] : State.Members_) {
-    const bool IsAmongCoordinators =
-        State.IsCoordinating_ && Other.Status_.IsCoordinating_;
-    if (!IsAmongCoordinators && !Sharing.contains(Run))
+    if (!isAmongHolders(State, Other) && !Sharing.contains(Run))
       Other.SharesSince_.reset();
     else if (!Other.SharesSince_)
       Other.SharesSince_ = T.Now_;
@@ -79,11 +87,9 @@
       std::clamp(Options.HeartbeatPerInstance_ * Sharing,
                  Options.LeastHeartbeat_, Options.MostHeartbeat_);
   for (const auto &[Run, Other] : State.Members_) {
-    // Any message says that this instance is there. Coordinators need the
-    // newest token as well.
-    const bool IsAmongCoordinators =
-        State.IsCoordinating_ && Other.Status_.IsCoordinating_;
-    const Milliseconds Since = IsAmongCoordinators
+    // Any message says that this instance is there. Holders need the newest
+    // token as well.
+    const Milliseconds Since = isAmongHolders(State, Other)
                                    ? Other.BeatAt_
                                    : std::max(Other.BeatAt_, Other.SaidAt_);
     const bool IsDue = Other.SharesSince_
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -98,7 +98,8 @@
                     .GiveUpIn_ = Job.GiveUpAt_ - T.Now_,
                     .Label_ = Given.Label_,
                     .DataRack_ = Given.DataRack_,
-                    .MaxPerWorker_ = Given.MaxPerWorker_});
+                    .MaxPerWorker_ = Given.MaxPerWorker_,
+                    .Avoid_ = Job.Unreachable_});
 }
 
 std::vector<uint32_t> waitingTasks(const OriginJob &Job) {
@@ -270,6 +271,13 @@
   return Run == State.Self_.Run_ || State.Members_.contains(Run);
 }
 
+// Without this the placer would choose workers of that holder again and again.
+static void avoid(OriginJob &Job, Incarnation Holder) {
+  if (std::find(Job.Unreachable_.begin(), Job.Unreachable_.end(), Holder) ==
+      Job.Unreachable_.end())
+    Job.Unreachable_.push_back(Holder);
+}
+
 void takePlacements(FleetTurn &T, Incarnation From, const Placed &Given) {
   OriginJob *Job = findJob(T.State_, Given.Job_);
   std::vector<uint32_t> Again;
@@ -283,8 +291,10 @@
       orderTask(T, *Job, Place, From, Orders);
       continue;
     }
-    if (IsWanted)
+    if (IsWanted) {
       Again.push_back(Place.Task_);
+      avoid(*Job, Place.Holder_);
+    }
     tell(T, From, PlaceRelease{Given.Job_, Place.Task_, RunEnd::NotStarted});
   }
   if (!Orders.empty())
--- a/coordination/marjorambend/src/Fleet/OriginJob.h
+++ b/coordination/marjorambend/src/Fleet/OriginJob.h
@@ -38,6 +38,7 @@
   bool HasEndedRuns_ = false; ///< A run that is over may have begun.
   bool IsAnswered_ = false;   ///< What is left is to see its runs end.
   Incarnation Placer_;        ///< Where its waiting tasks wait.
+  std::vector<Incarnation> Unreachable_; ///< Holders without a session.
   Milliseconds ArrivedAt_;
   Milliseconds ObjectiveAt_; ///< Answers after this count as late.
   Milliseconds GiveUpAt_;    ///< The caller or the route waits no longer.
--- a/coordination/marjorambend/src/Fleet/Placement.cpp
+++ b/coordination/marjorambend/src/Fleet/Placement.cpp
@@ -57,6 +57,9 @@
                        const TaskWish &Wish, Milliseconds Now) {
   const PlacerJob &Job = Wish.Job_;
   const Room Free = Worker.Held_.Report_.Capacity_ - Worker.Reserved_;
+  const std::vector<Incarnation> &Avoid = Job.Request_.Avoid_;
+  if (std::find(Avoid.begin(), Avoid.end(), Worker.Holder_) != Avoid.end())
+    return false;
   if (!fits(Job.Request_.Needs_, Free) || !Worker.Held_.IsOpen_ ||
       Worker.BackOffUntil_ > Now || !isEligible(Job, Worker) ||
       isCrowded(Job, Id))
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -304,7 +304,7 @@
 
   static bool isPlain(const PlacerJob &Job) {
     return Job.Request_.Label_.empty() && Job.Request_.DataRack_.empty() &&
-           Job.Request_.MaxPerWorker_ == 0;
+           Job.Request_.MaxPerWorker_ == 0 && Job.Request_.Avoid_.empty();
   }
   std::vector<Wish> Known_;
 };
--- a/coordination/test/Fleet/OriginTests.cpp
+++ b/coordination/test/Fleet/OriginTests.cpp
@@ -143,3 +143,24 @@
   S_.pass(120);
   expectCount<AnswerJob>(0, S_.give(S_.job(8, 8)));
 }
+
+// Load pattern: a data centre is cut off, and the placer still has its workers
+// in view.
+TEST(AJobAtItsOrigin, IsNotPlacedAgainAtAHolderThatCannotBeReached) {
+  Story Weak{{.Name_ = "w", .DataCentre_ = "dc", .CpuShare_ = 90},
+             Story::Instances::Unread};
+  Weak.prepare();
+  Weak.meet(5);
+  Weak.pass(40);
+  Weak.give(Weak.job());
+  const auto Told = only<TellInstance>(Weak.give(InstanceSaid{
+      {5}, Placed{.Job_ = 1, .Tasks_ = {{.Worker_ = "far", .Holder_ = {6}}}}}));
+  const auto Again =
+      std::find_if(Told.begin(), Told.end(), [](const TellInstance &One) {
+        return std::holds_alternative<PlaceRequest>(One.Message_);
+      });
+  CHECK(Again != Told.end());
+  const auto &Request = std::get<PlaceRequest>(Again->Message_);
+  LONGS_EQUAL(1, Request.Avoid_.size());
+  CHECK(Request.Avoid_[0] == Incarnation{6});
+}
--- a/coordination/test/Fleet/PlacementTests.cpp
+++ b/coordination/test/Fleet/PlacementTests.cpp
@@ -86,3 +86,32 @@
   Job_.Request_.DataRack_ = "r1";
   STRCMP_EQUAL("home", choose().c_str());
 }
+
+TEST(AWorkerForATask, IsNotOneOfAHolderThatItsOriginCannotReach) {
+  add("a", 1.0, 64'000).Holder_ = {6};
+  Job_.Request_.Avoid_ = {{6}};
+  STRCMP_EQUAL("none", choose().c_str());
+  add("b", 1.0, 64'000).Holder_ = {7};
+  STRCMP_EQUAL("b", choose().c_str());
+}
+
+// Load pattern: 1,100 workers, most of them full, of paces that differ.
+TEST(AWorkerForATask, IsAsGoodAsIfAllWereLookedAt) {
+  Random Generator(20261204);
+  for (int Round = 0; Round < 50; ++Round) {
+    Placing_ = {};
+    for (int Index = 0; Index < 60; ++Index)
+      add("w" + std::to_string(Index), 0.8 + 2 * uniformUnit(Generator),
+          static_cast<int64_t>(uniformBelow(Generator, 64'000)),
+          Index % 5 == 0 ? "near" : "far");
+    double Fastest = 1e9;
+    for (const auto &[Id, Worker] : Placing_.Workers_) {
+      if (64'000 - Worker.Reserved_.MilliCores_ >= 20'000)
+        Fastest = std::min(Fastest, Worker.Held_.Slowness_);
+    }
+    const PlacerWorker &Chosen = Placing_.Workers_.at(choose());
+    // A class of pace is 10% wide.
+    CHECK(Chosen.Held_.Slowness_ <=
+          Fastest * (1 + Options_.SimilarRunTime_) * 1.1);
+  }
+}
--- a/transport/marjorambend/src/Transport/FleetCodec.cpp
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -102,11 +102,15 @@
     const fleetwire::Room Needs = toWire(M.Needs_);
     const auto Label = text(M.Label_);
     const auto Rack = text(M.DataRack_);
+    std::vector<uint64_t> Runs;
+    for (const Incarnation One : M.Avoid_)
+      Runs.push_back(One.Value_);
+    const auto Avoid = Runs.empty() ? 0 : B_.CreateVector(Runs);
     return {fleetwire::Body::PlaceRequest,
             fleetwire::CreatePlaceRequest(
                 B_, M.Job_, M.Id_, Route, Service, Tasks, &Needs,
                 M.Estimate_.Count_, M.Priority_, M.ObjectiveIn_.Count_,
-                M.GiveUpIn_.Count_, Label, Rack, M.MaxPerWorker_)
+                M.GiveUpIn_.Count_, Label, Rack, M.MaxPerWorker_, Avoid)
                 .Union()};
   }
   FleetBody operator()(const PlaceWithdraw &M) const {
@@ -266,6 +270,10 @@
                      .MaxPerWorker_ = M.max_per_worker()};
   if (M.tasks() != nullptr)
     Given.Tasks_.assign(M.tasks()->begin(), M.tasks()->end());
+  if (M.avoid() != nullptr) {
+    for (const uint64_t Run : *M.avoid())
+      Given.Avoid_.push_back({Run});
+  }
   return Given;
 }
 
