--- a/transport/test/SessionTests.cpp
+++ b/transport/test/SessionTests.cpp
@@ -158,3 +158,34 @@
   B_.Links_.reset();
   until([&] { return A_.Down_.size() == 1; });
 }
+
+TEST(LinksBetweenInstances, ConfirmAMessageWithoutAnAnswerToIt) {
+  A_.Links_->keepLinked({{"127.0.0.1", PortB_}});
+  until([&] { return A_.Up_.size() == 1 && B_.Up_.size() == 1; });
+  A_.Links_->send({2}, PlaceWithdraw{1});
+  pass(220);
+  LONGS_EQUAL(1, A_.Links_->confirmTimes().Count_);
+}
+
+TEST(LinksBetweenInstances, AreKeptWhereNothingIsSaidForAWhile) {
+  A_.Links_->keepLinked({{"127.0.0.1", PortB_}});
+  until([&] { return A_.Up_.size() == 1 && B_.Up_.size() == 1; });
+  pass(1'000);
+  CHECK(A_.Down_.empty());
+  CHECK(B_.Down_.empty());
+}
+
+TEST(LinksBetweenInstances, AreOpenedByOneSideOnly) {
+  A_.Links_->keepLinked({{"127.0.0.1", PortB_}});
+  until([&] { return B_.Up_.size() == 1; });
+  B_.Links_->send({1}, PlaceWithdraw{7});
+  until([&] { return A_.Received_.size() == 1; });
+}
+
+// The store is not readable: the seeds tell who else there is.
+TEST(LinksBetweenInstances, TurnToSeedsWhileNoOthersAreKnown) {
+  A_.Links_->setSeeds({{"127.0.0.1", PortB_}});
+  pass(300);
+  CHECK(A_.Up_.empty());
+  until([&] { return A_.Up_.size() == 1; });
+}
