--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -257,7 +257,7 @@
 }
 
 static void sendOrders(FleetTurn &T, const OriginJob &Job,
-                       OrdersByHolder Orders) {
+                       OrdersByHolder &&Orders) {
   for (auto &[Holder, Order] : Orders) {
     Order.Job_ = Job.Number_;
     Order.Needs_ = Job.Submission_.Needs_;
