--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -359,7 +359,7 @@
   const FleetInstance &State = T.State_;
   const HolderOptions &Options = State.Options_.Holder_;
   const auto Most =
-      static_cast<std::size_t>(shareOfWorkers(State) * Options.MostOfMean_) +
+      static_cast<std::size_t>(shareOfWorkers(State) * Options.MostOfShare_) +
       Options.FewMore_;
   if (State.Holds_.size() > Most)
     handOver(T, std::min(Options.MostHandedOver_, State.Holds_.size() - Most));
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -29,7 +29,7 @@
   Milliseconds HeardAt_;
   Milliseconds SaidAt_; ///< When it was last told anything.
   Milliseconds BeatAt_; ///< When it was last told this instance's status.
-  /// Since when work is shared with it, if it is. \sa sharesWork
+  /// Since when work is shared with it, if it is. \sa sharedSince
   std::optional<Milliseconds> SharesSince_;
 };
 
@@ -54,8 +54,8 @@
 /// \brief The whole state of one instance's decisions on a fleet of workers
 /// that run tasks under leases.
 ///
-/// An instance is the origin of the jobs that callers bring to it, the holder
-/// of some workers, and at times the one that places tasks for all.
+/// An instance is the origin of the jobs that callers bring to it. A
+/// coordinator also holds some workers, and at times places tasks for all.
 struct FleetInstance {
   FleetOptions Options_;
   InstanceInfo Self_;
@@ -123,10 +123,6 @@
 /// \brief Whether nothing is left that a planned stop has to wait for.
 bool isIdle(const FleetInstance &State);
 
-/// \brief Whether this instance takes workers and may place and read for
-/// others.
-bool isCoordinating(const FleetInstance &State);
-
 /// \brief Since when this instance and \p Run share work, so that each has to
 /// hear the other often; nothing if they do not.
 std::optional<Milliseconds> sharedSince(const FleetInstance &State,
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -60,10 +60,10 @@
   /// Silence of all instances of another data centre after which its workers
   /// are claimed from here; longer than the cuts that the users expect.
   Milliseconds FarClaimAfter_{10'000};
-  /// An instance with more workers than this multiple of its data centre's
-  /// mean, and a few, hands some over. Within it they stay, since each change
-  /// of the holder closes a worker for as long as its runs take.
-  double MostOfMean_ = 1.5;
+  /// An instance with more workers than this multiple of its share of its data
+  /// centre's, and a few, hands some over. Within it they stay, since each
+  /// change of the holder closes a worker for as long as its runs take.
+  double MostOfShare_ = 1.5;
   std::size_t FewMore_ = 2;
   /// Workers that are handed over at a time.
   std::size_t MostHandedOver_ = 2;
--- a/coordination/marjorambend/src/Fleet/Heartbeats.cpp
+++ b/coordination/marjorambend/src/Fleet/Heartbeats.cpp
@@ -179,10 +179,6 @@
 
 namespace marjorambend {
 
-bool isCoordinating(const FleetInstance &State) {
-  return State.IsCoordinating_;
-}
-
 std::optional<Milliseconds> sharedSince(const FleetInstance &State,
                                         Incarnation Run) {
   const auto Found = State.Members_.find(Run);
