--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -62,6 +62,15 @@
 /// Placing for all; see Placer.cpp.
 /// @{
 void viewWorkers(FleetTurn &T, Incarnation Holder, const WorkersHeld &Held);
+void dropWorkers(FleetTurn &T, Incarnation Holder, const WorkersDropped &Held);
+void takePaces(FleetTurn &T, Incarnation Holder, const WorkerPaces &News);
+void requestPlaces(FleetTurn &T, Incarnation Origin, PlaceRequest Request);
+void withdrawPlaces(FleetTurn &T, Incarnation Origin, const PlaceWithdraw &Job);
+void releasePlace(FleetTurn &T, Incarnation Origin, const PlaceRelease &Place);
+void adoptPlace(FleetTurn &T, Incarnation Origin, const PlaceAdopt &Place);
+void forgetInstance(FleetTurn &T, Incarnation Run);
+void placeTasks(FleetTurn &T);
+/// @}
 
 /// Fencing tokens are milliseconds of the shared clock with these low bits.
 inline constexpr uint64_t FenceLowBits = 1024;
@@ -74,15 +83,6 @@
   State.HighestToken_ = std::max(State.HighestToken_, Token);
   State.TokenBase_ = std::max(State.TokenBase_, Token);
 }
-void dropWorkers(FleetTurn &T, Incarnation Holder, const WorkersDropped &Held);
-void takePaces(FleetTurn &T, Incarnation Holder, const WorkerPaces &News);
-void requestPlaces(FleetTurn &T, Incarnation Origin, PlaceRequest Request);
-void withdrawPlaces(FleetTurn &T, Incarnation Origin, const PlaceWithdraw &Job);
-void releasePlace(FleetTurn &T, Incarnation Origin, const PlaceRelease &Place);
-void adoptPlace(FleetTurn &T, Incarnation Origin, const PlaceAdopt &Place);
-void forgetInstance(FleetTurn &T, Incarnation Run);
-void placeTasks(FleetTurn &T);
-/// @}
 
 /// \brief Whether an instance is to hold workers and to place or read for
 /// others.
@@ -107,7 +107,7 @@
 /// \brief Sends a message to an instance, which may be this one.
 void tell(FleetTurn &T, Incarnation To, FleetMessage Message);
 
-/// \brief Sends a message to all coordinators, this one included if it is one.
+/// \brief Sends a message to all other coordinators, and to this instance.
 void tellCoordinators(FleetTurn &T, const FleetMessage &Message);
 
 /// \brief Adds a log line.
--- a/transport/marjorambend/src/Transport/CallPatience.cpp
+++ b/transport/marjorambend/src/Transport/CallPatience.cpp
@@ -13,6 +13,8 @@
 // A worker that loses some of its answers is no reason to wait longer for all;
 // users expect a tenth.
 static constexpr double ManySilent = 0.35;
+// Twice as many: the link is as good as dead, and the wait doubles once more.
+static constexpr double MostSilent = 2 * ManySilent;
 
 void noteAnswer(CallPatience &Known, Milliseconds Took) {
   const auto Sample = static_cast<double>(Took.Count_);
@@ -36,7 +38,7 @@
   double Wait = Known.Mean_ + Deviations * Known.Deviation_;
   Wait = std::max(Wait, static_cast<double>(Bounds.Least_.Count_));
   if (Known.Silence_ > ManySilent)
-    Wait *= Known.Silence_ > 2 * ManySilent ? 4 : 2;
+    Wait *= Known.Silence_ > MostSilent ? 4 : 2;
   return {std::min(static_cast<int64_t>(std::ceil(Wait)), Bounds.Most_.Count_)};
 }
 
--- a/transport/marjorambend/src/Transport/CallPatience.h
+++ b/transport/marjorambend/src/Transport/CallPatience.h
@@ -28,7 +28,8 @@
 void noteSilence(CallPatience &Known);
 
 /// \brief How long to wait for the next answer: the mean and four deviations
-/// (RFC 6298), twice that while most calls stay unanswered.
+/// (RFC 6298), twice that while many calls stay unanswered, four times while
+/// most do.
 Milliseconds patienceOf(const CallPatience &Known,
                         const PatienceBounds &Bounds);
 
