Find the next waiting job that fits without a scan of all

Cause: each message to the placer led to a pass over all waiting jobs.

Change: waiting jobs are grouped by need; a release examines only jobs that fit, and a new job is tried alone. Late jobs are told apart at ticks. Jobs that have started are placed first and are not refused as late; the request for workers says whether a task has started.

--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -185,7 +185,7 @@
     choosePlacer(Ctx);
   tickHolds(Ctx);
   expireJobs(Ctx);
-  State.Placing_.IsDirty_ = !State.Placing_.Waiting_.empty();
+  reviewWaitingJobs(Ctx);
 }
 
 static void handleInstanceUp(FleetStepContext &Ctx, const InstanceUp &Up) {
@@ -296,8 +296,7 @@
   internal::detectPause(Ctx);
   std::visit(internal::FleetEventHandler{Ctx}, Event);
   internal::handleSelfMessages(Ctx);
-  while (State.Placing_.IsDirty_) {
-    State.Placing_.IsDirty_ = false;
+  while (State.Placing_.IsDirty_ || !State.Placing_.NewJobs_.empty()) {
     internal::placeTasks(Ctx);
     internal::handleSelfMessages(Ctx);
   }
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -57,6 +57,7 @@
   uint32_t MaxPerWorker_ = 0;
   /// Holders that the origin cannot reach.
   std::vector<Incarnation> Avoid_;
+  bool IsStarted_ = false; ///< A task of the job runs or may have run.
 };
 
 /// \brief Withdraws the waiting tasks of a job.
--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -57,7 +57,7 @@
 std::string renderMetrics(const FleetInstance &State, Milliseconds Now) {
   std::string Text = renderCounters(State.Counters_);
   Text += renderGauge("jobs_open", State.Jobs_.size());
-  Text += renderGauge("jobs_waiting", State.Placing_.Waiting_.size());
+  Text += renderGauge("jobs_waiting", countWaitingJobs(State.Placing_));
   Text += renderGauge("workers_held", State.Holds_.size());
   Text += renderGauge("workers_viewed", State.Placing_.Workers_.size());
   Text += renderGauge("instances_linked", State.Members_.size());
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -93,7 +93,10 @@
 void handlePlaceAdopt(FleetStepContext &Ctx, Incarnation Origin,
                       const PlaceAdopt &Place);
 void removeInstanceFromPlacer(FleetStepContext &Ctx, Incarnation Run);
+/// Places waiting tasks after the placer's state has changed.
 void placeTasks(FleetStepContext &Ctx);
+/// Places waiting tasks at a tick, and refuses jobs that cannot be served.
+void reviewWaitingJobs(FleetStepContext &Ctx);
 /// @}
 
 /// Fencing tokens are times of the shared clock in milliseconds, multiplied by
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -103,7 +103,8 @@
                            .Label_ = Submission.Label_,
                            .DataRack_ = Submission.DataRack_,
                            .MaxPerWorker_ = Submission.MaxPerWorker_,
-                           .Avoid_ = Job.UnreachableHolders_});
+                           .Avoid_ = Job.UnreachableHolders_,
+                           .IsStarted_ = mayHaveRun(Job)});
 }
 
 std::vector<uint32_t> waitingTasks(const OriginJob &Job) {
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 #include <vector>
 
 namespace marjorambend::internal {
@@ -25,9 +26,13 @@
   Placer.IsDirty_ = true;
 }
 
+static WaitingQueue &queueOf(PlacerState &Placer, const PlacerJob &Job) {
+  return Job.IsLate_ ? Placer.Late_ : Placer.InTime_;
+}
+
 static void removeFromQueue(PlacerState &Placer, PlacerJob &Job) {
   if (Job.Waiting_)
-    Placer.Waiting_.erase(*Job.Waiting_);
+    removeFromQueue(queueOf(Placer, Job), *Job.Waiting_);
   Job.Waiting_.reset();
 }
 
@@ -116,6 +121,11 @@
                                        : Found->second.Info_.DataCentre_;
 }
 
+// A job with a task that runs or has run.
+static bool isStarted(const PlacerJob &Job) {
+  return Job.Request_.IsStarted_ || !Job.Reservations_.empty();
+}
+
 // Latest start at which a task of the estimated run time meets the objective.
 static Milliseconds latestStart(const PlacerJob &Job) {
   return Job.ObjectiveAt_ - Job.Request_.Estimate_;
@@ -143,8 +153,9 @@
                  .Key_ = {Origin, Job.Request_.Job_},
                  .LatestStart_ = Latest,
                  .MilliCores_ = Job.Request_.Needs_.MilliCores_};
-  Placer.Waiting_.insert(*Job.Waiting_);
-  Placer.IsDirty_ = true;
+  Job.IsLate_ = Latest < Ctx.Now_ && !isStarted(Job);
+  addToQueue(queueOf(Placer, Job), *Job.Waiting_);
+  Placer.NewJobs_.push_back(Job.Waiting_->Key_);
 }
 
 static void removeIfDone(PlacerState &Placer, const PlacerJobKey &Key) {
@@ -230,8 +241,8 @@
   Placer.BacklogComputedAt_ = Ctx.Now_;
   double Work = 0; // milli-core milliseconds
   double Cores = 0;
-  for (const WaitingJob &One : Placer.Waiting_) {
-    const PlaceRequest &Request = Placer.Jobs_.at(One.Key_).Request_;
+  for (const auto &[Key, Job] : Placer.Jobs_) {
+    const PlaceRequest &Request = Job.Request_;
     Work += static_cast<double>(Request.Tasks_.size()) *
             static_cast<double>(Request.Needs_.MilliCores_) *
             static_cast<double>(Request.Estimate_.Count_);
@@ -276,7 +287,7 @@
   log(Ctx, "place_refused", Job.Request_.Id_,
       {{"why", std::string(Why)},
        {"waited_ms", toString(Ctx.Now_ - Job.ArrivedAt_)},
-       {"waiting_jobs", std::to_string(Ctx.State_.Placing_.Waiting_.size())},
+       {"waiting_jobs", std::to_string(countWaitingJobs(Ctx.State_.Placing_))},
        {"open_workers",
         std::to_string(Ctx.State_.Placing_.OpenWorkers_.FreeCores_.size())},
        {"view_age_ms", toString(oldestView(Ctx))},
@@ -356,58 +367,123 @@
     sendMessage(Ctx, Job.Origin_, std::move(Answer));
 }
 
-static void placeOrRefuse(FleetStepContext &Ctx, const PlacerJobKey &Key,
-                          bool IsLateRefused,
-                          UnplaceableRequirements &Unplaceable) {
+// Refuses a job that would end after its caller has left.
+static bool refuseIfOutOfTime(FleetStepContext &Ctx, const PlacerJobKey &Key) {
+  PlacerJob &Job = Ctx.State_.Placing_.Jobs_.at(Key);
+  if (Ctx.Now_ + Job.Request_.Estimate_ <= Job.GiveUpAt_)
+    return false;
+  refuseJob(Ctx, Job, "too little time is left");
+  removeIfDone(Ctx.State_.Placing_, Key);
+  return true;
+}
+
+// Tries to place the waiting tasks of a job, unless the pass has shown that
+// this is not possible; returns whether tasks still wait.
+static bool tryJob(FleetStepContext &Ctx, const PlacerJobKey &Key,
+                   UnplaceableRequirements &Unplaceable) {
   PlacerJob &Job = Ctx.State_.Placing_.Jobs_.at(Key);
   const double MaxSlowness = maxSlowness(Job, Ctx.Now_);
-  if (Ctx.Now_ + Job.Request_.Estimate_ > Job.GiveUpAt_)
-    refuseJob(Ctx, Job, "too little time is left");
-  else if (IsLateRefused && Job.Reservations_.empty())
-    refuseJob(Ctx, Job, "late, while others can be in time");
-  else if (!Unplaceable.covers(Job, MaxSlowness)) {
-    placeJob(Ctx, Job, medianSlowness(Ctx));
-    if (!Job.Request_.Tasks_.empty())
-      Unplaceable.add(Job, MaxSlowness);
-  }
+  if (Unplaceable.covers(Job, MaxSlowness))
+    return true;
+  increment(Ctx.State_.Counters_, Counter::PlacementsTried);
+  placeJob(Ctx, Job, medianSlowness(Ctx));
+  const bool IsWaiting = !Job.Request_.Tasks_.empty();
+  if (IsWaiting)
+    Unplaceable.add(Job, MaxSlowness);
   removeIfDone(Ctx.State_.Placing_, Key);
+  return IsWaiting;
+}
+
+static int64_t maxFreeMilliCores(const PlacerState &Placer) {
+  const std::multiset<int64_t> &Free = Placer.OpenWorkers_.FreeCores_;
+  return Free.empty() ? -1 : *Free.rbegin();
 }
 
-// Jobs that can still meet their objective are placed first, ordered by their
-// latest start with a lead for urgent ones; late jobs get the remaining
-// resources. When the fleet is overloaded for seconds, a late job that has not
-// started would only wait or delay jobs that can be in time, so it is refused
-// while such jobs wait.
+// Jobs with constraints that no free worker meets are tried in vain; the next
+// tick tries all.
+static constexpr uint32_t MaxTriesInVain = 32;
+
+static void placeQueue(FleetStepContext &Ctx, WaitingQueue &Queue,
+                       uint32_t MaxInVain,
+                       UnplaceableRequirements &Unplaceable) {
+  PlacerState &Placer = Ctx.State_.Placing_;
+  uint32_t InVain = 0;
+  auto Next = nextThatFits(Queue, maxFreeMilliCores(Placer));
+  while (Next && InVain < MaxInVain) {
+    if (tryJob(Ctx, Next->Key_, Unplaceable))
+      ++InVain;
+    Next = nextThatFits(Queue, maxFreeMilliCores(Placer), Next);
+  }
+}
+
+// When the fleet is overloaded for seconds, a late job that has not started
+// would only wait or delay jobs that can be in time, so it is refused while
+// such jobs wait.
+static bool isLateRefused(const FleetStepContext &Ctx) {
+  return Ctx.State_.Placing_.InTime_.Size_ > 0 &&
+         Ctx.State_.Options_.Placer_.RefusesLate_;
+}
+
+static void placeAllJobs(FleetStepContext &Ctx, uint32_t MaxInVain) {
+  PlacerState &Placer = Ctx.State_.Placing_;
+  Placer.NewJobs_.clear();
+  UnplaceableRequirements Unplaceable;
+  placeQueue(Ctx, Placer.InTime_, MaxInVain, Unplaceable);
+  if (!isLateRefused(Ctx))
+    placeQueue(Ctx, Placer.Late_, MaxInVain, Unplaceable);
+}
+
+// Jobs that can still meet their objective, and jobs that have started, are
+// placed first, ordered by their latest start with a lead for urgent ones; late
+// jobs get the remaining resources. While no resources were released, only new
+// jobs are tried: the others cannot be placed.
 void placeTasks(FleetStepContext &Ctx) {
   PlacerState &Placer = Ctx.State_.Placing_;
-  if (Placer.Waiting_.empty())
+  if (Placer.IsDirty_) {
+    Placer.IsDirty_ = false;
+    placeAllJobs(Ctx, MaxTriesInVain);
     return;
-  std::vector<PlacerJobKey> InTime;
-  std::vector<PlacerJobKey> Late;
-  const int64_t MaxFreeMilliCores =
-      Placer.OpenWorkers_.FreeCores_.empty()
-          ? -1
-          : *Placer.OpenWorkers_.FreeCores_.rbegin();
-  bool IsOverloaded = false;
-  for (const WaitingJob &One : Placer.Waiting_) {
-    if (One.LatestStart_ < Ctx.Now_)
-      Late.push_back(One.Key_);
-    else if (One.MilliCores_ <= MaxFreeMilliCores)
-      InTime.push_back(One.Key_);
-    else
-      IsOverloaded = true;
   }
+  const std::vector<PlacerJobKey> Keys = std::exchange(Placer.NewJobs_, {});
   UnplaceableRequirements Unplaceable;
-  for (const PlacerJobKey &Key : InTime) {
-    placeOrRefuse(Ctx, Key, false, Unplaceable);
+  for (const PlacerJobKey &Key : Keys) {
     const auto Job = Placer.Jobs_.find(Key);
-    IsOverloaded = IsOverloaded || (Job != Placer.Jobs_.end() &&
-                                    !Job->second.Request_.Tasks_.empty());
+    if (Job == Placer.Jobs_.end() || !Job->second.Waiting_)
+      continue;
+    if (!refuseIfOutOfTime(Ctx, Key))
+      tryJob(Ctx, Key, Unplaceable);
+  }
+}
+
+static void moveLateJobs(FleetStepContext &Ctx) {
+  PlacerState &Placer = Ctx.State_.Placing_;
+  for (auto &[Key, Job] : Placer.Jobs_) {
+    if (!Job.Waiting_ || Job.IsLate_ || isStarted(Job) ||
+        latestStart(Job) >= Ctx.Now_)
+      continue;
+    removeFromQueue(Placer.InTime_, *Job.Waiting_);
+    Job.IsLate_ = true;
+    addToQueue(Placer.Late_, *Job.Waiting_);
+  }
+}
+
+void reviewWaitingJobs(FleetStepContext &Ctx) {
+  PlacerState &Placer = Ctx.State_.Placing_;
+  moveLateJobs(Ctx);
+  placeAllJobs(Ctx, UINT32_MAX);
+  std::vector<PlacerJobKey> Waiting;
+  for (const auto &[Key, Job] : Placer.Jobs_) {
+    if (Job.Waiting_)
+      Waiting.push_back(Key);
+  }
+  for (const PlacerJobKey &Key : Waiting) {
+    PlacerJob &Job = Placer.Jobs_.at(Key);
+    if (refuseIfOutOfTime(Ctx, Key) || !isLateRefused(Ctx) || !Job.IsLate_ ||
+        isStarted(Job))
+      continue;
+    refuseJob(Ctx, Job, "late, while others can be in time");
+    removeIfDone(Placer, Key);
   }
-  const bool IsLateRefused =
-      IsOverloaded && Ctx.State_.Options_.Placer_.RefusesLate_;
-  for (const PlacerJobKey &Key : Late)
-    placeOrRefuse(Ctx, Key, IsLateRefused, Unplaceable);
 }
 
 } // namespace marjorambend::internal
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -2,13 +2,13 @@
 #define MARJORAMBEND_FLEET_PLACERSTATE_H
 
 #include "marjorambend/src/Fleet/FleetMessages.h"
+#include "marjorambend/src/Scheduling/WaitingQueue.h"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -48,23 +48,6 @@
   std::string Worker_;
 };
 
-/// \brief Identifies a job by its origin and its number there.
-using PlacerJobKey = std::pair<Incarnation, uint64_t>;
-
-/// \brief Entry of a job in the queue of waiting jobs.
-struct WaitingJob {
-  Milliseconds Rank_; ///< Latest start; later for less urgent jobs.
-  PlacerJobKey Key_;
-  Milliseconds LatestStart_;
-  /// Need of each task; copied here so that jobs are skipped without a lookup
-  /// if no worker has as many cores free.
-  int64_t MilliCores_ = 0;
-
-  friend bool operator<(const WaitingJob &A, const WaitingJob &B) {
-    return std::tie(A.Rank_, A.Key_) < std::tie(B.Rank_, B.Key_);
-  }
-};
-
 /// \brief A job as known to the placer.
 struct PlacerJob {
   PlaceRequest Request_; ///< Lists only the tasks that still wait.
@@ -74,7 +57,8 @@
   Milliseconds ObjectiveAt_;
   Milliseconds GiveUpAt_;
   std::vector<Reservation> Reservations_;
-  std::optional<WaitingJob> Waiting_; ///< Its entry in the queue.
+  std::optional<WaitingJob> Waiting_; ///< Its entry in a queue.
+  bool IsLate_ = false;               ///< The entry is in PlacerState::Late_.
 };
 
 /// \brief Workers and waiting tasks of the whole fleet.
@@ -84,16 +68,24 @@
 struct PlacerState {
   std::map<std::string, PlacerWorker> Workers_;
   std::map<PlacerJobKey, PlacerJob> Jobs_;
-  std::set<WaitingJob> Waiting_; ///< Queue of jobs with waiting tasks.
+  /// Waiting jobs that can meet their objective or have started.
+  WaitingQueue InTime_;
+  WaitingQueue Late_; ///< The other waiting jobs; moved there by ticks.
   WorkerIndex OpenWorkers_;
   double MedianSlowness_ = 1.0;   ///< Of the open workers.
   Milliseconds MedianComputedAt_; ///< When it was computed.
   double Backlog_ = 0; ///< Time for the open workers to do all waiting
                        ///< work, in milliseconds.
   Milliseconds BacklogComputedAt_; ///< When it was computed.
-  bool IsDirty_ = false; ///< A waiting task may have become placeable.
+  bool IsDirty_ = false; ///< Any waiting task may have become placeable.
+  std::vector<PlacerJobKey> NewJobs_; ///< Not tried since their request.
 };
 
+/// \brief Number of jobs with waiting tasks.
+inline std::size_t countWaitingJobs(const PlacerState &Placer) {
+  return Placer.InTime_.Size_ + Placer.Late_.Size_;
+}
+
 } // namespace marjorambend
 
 #endif // MARJORAMBEND_FLEET_PLACERSTATE_H
--- a/transport/marjorambend/src/Transport/FleetCodec.cpp
+++ b/transport/marjorambend/src/Transport/FleetCodec.cpp
@@ -107,10 +107,11 @@
       Runs.push_back(One.Value_);
     const auto Avoid = Runs.empty() ? 0 : B_.CreateVector(Runs);
     return {fleetwire::Body::PlaceRequest,
-            fleetwire::CreatePlaceRequest(
-                B_, M.Job_, M.Id_, Route, Service, Tasks, &Needs,
-                M.Estimate_.Count_, M.Priority_, M.ObjectiveIn_.Count_,
-                M.GiveUpIn_.Count_, Label, Rack, M.MaxPerWorker_, Avoid)
+            fleetwire::CreatePlaceRequest(B_, M.Job_, M.Id_, Route, Service,
+                                          Tasks, &Needs, M.Estimate_.Count_,
+                                          M.Priority_, M.ObjectiveIn_.Count_,
+                                          M.GiveUpIn_.Count_, Label, Rack,
+                                          M.MaxPerWorker_, Avoid, M.IsStarted_)
                 .Union()};
   }
   FleetBody operator()(const PlaceWithdraw &M) const {
@@ -267,7 +268,8 @@
                      .GiveUpIn_ = {M.give_up_in_ms()},
                      .Label_ = fromWire(M.label()),
                      .DataRack_ = fromWire(M.data_rack()),
-                     .MaxPerWorker_ = M.max_per_worker()};
+                     .MaxPerWorker_ = M.max_per_worker(),
+                     .IsStarted_ = M.is_started()};
   if (M.tasks() != nullptr)
     Given.Tasks_.assign(M.tasks()->begin(), M.tasks()->end());
   if (M.avoid() != nullptr) {
