Count the jobs that were not served in time by reason

marjorambendctl losses reads the logs of all instances and prints late, refused and lost jobs by reason, route, window of time and instance.

--- a/ctl/Commands.cpp
+++ b/ctl/Commands.cpp
@@ -308,6 +308,8 @@
          << '\n';
   Text << "  " << std::left << std::setw(42) << "explain JOB [FILE...]"
        << "print a job's log lines and the cause of its outcome\n";
+  Text << "  " << std::left << std::setw(42) << "losses [FILE...]"
+       << "count jobs that were not served in time, by reason\n";
   Text << "  " << std::left << std::setw(42) << "top IP:PORT..."
        << "print a summary of the metrics of instances\n";
   Text
@@ -317,6 +319,8 @@
          "  --expect=N          with apply: the version that you edited\n"
          "  --interval_ms=N     with top: time between its two readings "
          "(1000)\n"
+         "  --window_ms=N       with losses: length of a window of time "
+         "(2000)\n"
          "  --wait_ms=N         how long apply and wait-ready wait (9000)\n"
          "  --json              print JSON for scripts\n\n"
          "The operators' secret is taken from MARJORAMBEND_OPERATOR_SECRET.\n\n"
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -3,6 +3,7 @@
 
 #include "Commands.h"
 #include "Explain.h"
+#include "Losses.h"
 #include "Top.h"
 
 #include <csignal>
@@ -15,6 +16,7 @@
 DEFINE_bool(json, false, "print JSON for scripts");
 DEFINE_int64(expect, -1, "with apply: the version that was edited");
 DEFINE_int64(wait_ms, 9000, "how long apply and wait-ready wait");
+DEFINE_int64(window_ms, 2000, "with losses: length of a window of time");
 DEFINE_int64(interval_ms, 1000, "with top: time between its two readings");
 
 using namespace marjorambend;
@@ -32,6 +34,8 @@
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
   if (Count > 1 && std::string_view(Arguments[1]) == "explain")
     return runExplain({Arguments + 1, Arguments + Count}, FLAGS_json);
+  if (Count > 1 && std::string_view(Arguments[1]) == "losses")
+    return runLosses({Arguments + 1, Arguments + Count}, FLAGS_window_ms);
   const auto Instance = parseEndpoint(FLAGS_instance);
   if (!Instance) {
     std::cerr << "marjorambendctl: --instance must be IP:PORT\n";
