Tell a fleet that opens its workers from an overloaded one

Cause: after all instances have restarted, no worker is open for half a second. Jobs that became late meanwhile were refused as if there were more load than capacity, and were sent away for up to five seconds, since the backlog was divided by the first open worker.

Change: the placer compares the open capacity with what the list promises. Until half of it is open, for two seconds at most, late jobs wait. Workers are claimed at once when all coordinators of the data centre are present. Requests wait up to 300 ms for the first configuration. The decisions have a module, Scheduling.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -388,6 +388,25 @@
                          Ctx.State_.Holds_.size() / 4));
 }
 
+// Whether the coordinators agree on who claims which worker: all are present,
+// or those that are missing were waited for.
+static bool canClaim(const FleetInstance &State, Milliseconds Now) {
+  if (!State.HasTicked_)
+    return false;
+  if (Now - State.CoordinatingChangedAt_ >= State.Options_.Holder_.ClaimDelay_)
+    return true;
+  return areCoordinatorsPresent(
+      State.Roster_, State.Options_.Roster_, State.Self_,
+      [&State](const InstanceInfo &Info) {
+        return std::any_of(State.Members_.begin(), State.Members_.end(),
+                           [&Info](const auto &Entry) {
+                             const FleetMember &Other = Entry.second;
+                             return Other.Info_.Name_ == Info.Name_ &&
+                                    isActiveCoordinator(Other.Status_);
+                           });
+      });
+}
+
 // Workers keep their holder unless it is stopping, does not coordinate, is in
 // another data centre or holds too many workers.
 void reviewHolds(FleetStepContext &Ctx) {
@@ -404,10 +423,7 @@
     handOverAll(Ctx);
     return;
   }
-  const bool IsSettled =
-      State.HasTicked_ && Ctx.Now_ - State.CoordinatingChangedAt_ >=
-                              State.Options_.Holder_.ClaimDelay_;
-  if (!IsSettled)
+  if (!canClaim(State, Ctx.Now_))
     return;
   for (auto &[Id, Hold] : State.Holds_) {
     const bool IsFar = Hold.Report_.DataCentre_ != State.Self_.DataCentre_;
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -185,6 +185,7 @@
     choosePlacer(Ctx);
   tickHolds(Ctx);
   expireJobs(Ctx);
+  reviewEarlyJobs(Ctx);
   reviewWaitingJobs(Ctx);
 }
 
@@ -315,7 +316,8 @@
 }
 
 bool isIdle(const FleetInstance &State) {
-  return State.Jobs_.empty() && State.Holds_.empty();
+  return State.Jobs_.empty() && State.EarlyJobs_.empty() &&
+         State.Holds_.empty();
 }
 
 JobState stateOf(const FleetInstance &State, uint64_t Id) {
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -89,6 +89,8 @@
   std::map<std::string, Incarnation> HeldByOthers_;
   Incarnation Placer_; ///< Places the tasks of this instance.
 
+  /// Jobs that wait for the first configuration, with their arrival.
+  std::vector<std::pair<Milliseconds, JobSubmission>> EarlyJobs_;
   std::unordered_map<uint64_t, OriginJob> Jobs_; ///< By number.
   /// Numbers of jobs by the token of an open request.
   std::unordered_map<uint64_t, uint64_t> JobByToken_;
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_FLEET_FLEETOPTIONS_H
 #define MARJORAMBEND_FLEET_FLEETOPTIONS_H
 
+#include "marjorambend/src/Scheduling/Overload.h"
 #include "marjorambend/src/Support/Milliseconds.h"
 
 #include <cstdint>
@@ -54,8 +55,9 @@
   double LearningRate_ = 0.2;
   /// Relative change of the slowness above which it is sent to the placer.
   double MinAnnouncedChange_ = 0.15;
-  /// Time after an instance begins to coordinate before it claims workers;
-  /// instances of one deployment start within 300 ms of each other.
+  /// Time after an instance begins to coordinate before it claims workers, if
+  /// other coordinators of its data centre are missing; instances of one
+  /// deployment start within 300 ms of each other.
   Milliseconds ClaimDelay_{500};
   /// Time without a message from any instance of another data centre after
   /// which its workers are claimed from this one; longer than the network
@@ -85,17 +87,10 @@
   /// the users' shortest jobs, so that priority decides between jobs with
   /// similar slack and does not starve the others.
   Milliseconds PriorityStep_{100};
-  /// Whether a job that can only be late is refused at once while jobs that can
-  /// be in time wait; off for comparison.
-  bool RefusesLate_ = true;
-  /// Interval at which the median slowness of the fleet is computed.
-  Milliseconds SlownessRefreshInterval_{100};
-  /// Bounds of the retry time in a refusal.
-  Milliseconds MinRetryAfter_{200};
-  Milliseconds MaxRetryAfter_{5'000};
-  /// Retry time while no worker is open; lost holders are replaced within half
-  /// a second, and a worker opens about 50 ms after it is claimed.
-  Milliseconds NoWorkersRetryAfter_{800};
+  OverloadOptions Overload_;
+  RetryAfterOptions Retry_;
+  /// Interval at which the fleet's capacity and median slowness are computed.
+  Milliseconds SummaryInterval_{100};
 };
 
 /// \brief Options for the choice of coordinators.
@@ -155,6 +150,9 @@
   /// A larger gap between two ticks counts as a pause: other instances consider
   /// this one lost.
   Milliseconds PauseThreshold_{600};
+  /// Time after the start for which jobs wait for the first configuration; it
+  /// arrives within a few answers of the store.
+  Milliseconds ConfigWait_{300};
   /// Time after the order to stop in which jobs are still accepted: until the
   /// platform sends new connections elsewhere, after two failed checks one
   /// second apart.
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -40,6 +40,9 @@
                       std::string_view Name);
 /// Moves waiting tasks and reservations if the choice has changed.
 void choosePlacer(FleetStepContext &Ctx);
+/// Submits the jobs that have waited for the first configuration, or refuses
+/// them if it does not arrive.
+void reviewEarlyJobs(FleetStepContext &Ctx);
 void giveUpAllJobs(FleetStepContext &Ctx, std::string_view Why);
 /// @}
 
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -73,6 +73,7 @@
   if (IsChange && Read.IsFromStore_ && isReader(State, Ctx.Now_))
     sendToDataCentre(Ctx, ConfigNews{Known.Version_, std::move(Read.Text_)},
                      Audience::All);
+  reviewEarlyJobs(Ctx);
 }
 
 void applyConfigNews(FleetStepContext &Ctx, const ConfigNews &News) {
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -138,7 +138,7 @@
   if (Job.IsAnswered_) {
     rejectSubmission(Ctx, Submission, JobOutcome::NotRun,
                      "earlier runs are being stopped",
-                     Ctx.State_.Options_.Placer_.MinRetryAfter_);
+                     Ctx.State_.Options_.Placer_.Retry_.MinRetryAfter_);
     return true;
   }
   log(Ctx, "joined", Submission.Id_,
@@ -158,16 +158,21 @@
 
 void submitJob(FleetStepContext &Ctx, JobSubmission Submission) {
   FleetInstance &State = Ctx.State_;
+  if (State.Config_.Version_ == 0 &&
+      Ctx.Now_ - State.StartedAt_ < State.Options_.ConfigWait_) {
+    State.EarlyJobs_.emplace_back(Ctx.Now_, std::move(Submission));
+    return;
+  }
   increment(State.Counters_, Counter::JobsSubmitted);
   if (State.Config_.Version_ == 0) {
     rejectSubmission(Ctx, Submission, JobOutcome::NotRun,
                      "no configuration yet",
-                     State.Options_.Placer_.MinRetryAfter_);
+                     State.Options_.Placer_.Retry_.MinRetryAfter_);
     return;
   }
   if (Ctx.Now_ < State.PauseSettledAt_) {
     rejectSubmission(Ctx, Submission, JobOutcome::NotRun, "just after a pause",
-                     State.Options_.Placer_.MinRetryAfter_);
+                     State.Options_.Placer_.Retry_.MinRetryAfter_);
     return;
   }
   const bool IsRejecting =
@@ -175,7 +180,7 @@
       Ctx.Now_ - State.StoppingSince_ >= State.Options_.StopGracePeriod_;
   if (IsRejecting) {
     rejectSubmission(Ctx, Submission, JobOutcome::NotRun, "the instance stops",
-                     State.Options_.Placer_.MinRetryAfter_);
+                     State.Options_.Placer_.Retry_.MinRetryAfter_);
     return;
   }
   const Route *MatchedRoute =
@@ -187,7 +192,7 @@
   if (MatchedRoute->NeedsApproval_) {
     rejectSubmission(Ctx, Submission, JobOutcome::NotSupported,
                      "the route needs advice",
-                     State.Options_.Placer_.MaxRetryAfter_);
+                     State.Options_.Placer_.Retry_.MaxRetryAfter_);
     return;
   }
   if (joinJob(Ctx, Submission))
@@ -220,8 +225,27 @@
   requestWorkers(Ctx, Job, waitingTasks(Job));
 }
 
+void reviewEarlyJobs(FleetStepContext &Ctx) {
+  FleetInstance &State = Ctx.State_;
+  const bool IsWaiting =
+      State.Config_.Version_ == 0 &&
+      Ctx.Now_ - State.StartedAt_ < State.Options_.ConfigWait_;
+  if (IsWaiting)
+    return;
+  for (auto &[ArrivedAt, Submission] : std::exchange(State.EarlyJobs_, {})) {
+    // Of the caller's time, only the rest is left.
+    if (Submission.CallerTimeout_.Count_ > 0)
+      Submission.CallerTimeout_ = std::max(
+          Submission.CallerTimeout_ - (Ctx.Now_ - ArrivedAt), Milliseconds{1});
+    submitJob(Ctx, std::move(Submission));
+  }
+}
+
 void abandonJob(FleetStepContext &Ctx, uint64_t Token) {
   FleetInstance &State = Ctx.State_;
+  std::erase_if(State.EarlyJobs_, [Token](const auto &Entry) {
+    return Entry.second.Token_ == Token;
+  });
   const auto Found = State.JobByToken_.find(Token);
   if (Found == State.JobByToken_.end())
     return;
@@ -235,7 +259,18 @@
   stopJob(Ctx, Job);
 }
 
+static void cancelEarlyJobs(FleetStepContext &Ctx, uint64_t Id) {
+  std::erase_if(Ctx.State_.EarlyJobs_, [&Ctx, Id](const auto &Entry) {
+    const JobSubmission &Submission = Entry.second;
+    if (Submission.Id_ != Id)
+      return false;
+    rejectSubmission(Ctx, Submission, JobOutcome::Cancelled, "cancelled");
+    return true;
+  });
+}
+
 void cancelJob(FleetStepContext &Ctx, uint64_t Id) {
+  cancelEarlyJobs(Ctx, Id);
   const auto Found = Ctx.State_.JobById_.find(Id);
   if (Found == Ctx.State_.JobById_.end())
     return;
@@ -397,7 +432,7 @@
     OriginJob *Job = findJob(State, Number);
     if (Job != nullptr && !Job->IsAnswered_)
       giveUpJob(Ctx, *Job, "the time is over",
-                State.Options_.Placer_.MinRetryAfter_);
+                State.Options_.Placer_.Retry_.MinRetryAfter_);
   }
 }
 
@@ -436,6 +471,10 @@
 }
 
 void giveUpAllJobs(FleetStepContext &Ctx, std::string_view Why) {
+  for (const auto &[ArrivedAt, Submission] :
+       std::exchange(Ctx.State_.EarlyJobs_, {}))
+    rejectSubmission(Ctx, Submission, JobOutcome::NotRun, Why,
+                     Ctx.State_.Options_.Placer_.Retry_.MinRetryAfter_);
   std::vector<uint64_t> Numbers;
   for (const auto &[Number, Job] : Ctx.State_.Jobs_) {
     if (!Job.IsAnswered_)
@@ -443,7 +482,7 @@
   }
   for (const uint64_t Number : Numbers)
     giveUpJob(Ctx, Ctx.State_.Jobs_.at(Number), Why,
-              Ctx.State_.Options_.Placer_.MinRetryAfter_);
+              Ctx.State_.Options_.Placer_.Retry_.MinRetryAfter_);
 }
 
 } // namespace marjorambend::internal
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -212,12 +213,7 @@
 
 // Reference for run time estimates: the median of the open workers, since
 // objectives are meant for healthy workers.
-static double medianSlowness(FleetStepContext &Ctx) {
-  PlacerState &Placer = Ctx.State_.Placing_;
-  if (Ctx.Now_ - Placer.MedianComputedAt_ <
-      Ctx.State_.Options_.Placer_.SlownessRefreshInterval_)
-    return Placer.MedianSlowness_;
-  Placer.MedianComputedAt_ = Ctx.Now_;
+static double medianSlowness(const PlacerState &Placer) {
   std::vector<double> Known;
   for (const auto &[Id, Worker] : Placer.Workers_) {
     if (Worker.Held_.IsOpen_)
@@ -228,42 +224,62 @@
   const auto Middle =
       Known.begin() + static_cast<std::ptrdiff_t>(Known.size() / 2);
   std::nth_element(Known.begin(), Middle, Known.end());
-  Placer.MedianSlowness_ = *Middle;
   return *Middle;
 }
 
-// Time that the open workers need for all waiting tasks, in milliseconds.
-static double backlog(FleetStepContext &Ctx) {
-  const PlacerOptions &Options = Ctx.State_.Options_.Placer_;
+// A worker should be open soon if it does not drain and a coordinator of its
+// data centre can be reached.
+static int64_t listedMilliCores(const FleetInstance &State) {
+  std::set<std::string> Reachable;
+  if (State.IsCoordinating_)
+    Reachable.insert(State.Self_.DataCentre_);
+  for (const auto &[Run, Other] : State.Members_) {
+    if (Other.Status_.IsCoordinating_)
+      Reachable.insert(Other.Info_.DataCentre_);
+  }
+  int64_t Sum = 0;
+  for (const auto &[Id, Report] : State.ListedWorkers_) {
+    if (!Report.IsDraining_ && Reachable.contains(Report.DataCentre_))
+      Sum += Report.Capacity_.MilliCores_;
+  }
+  return Sum;
+}
+
+static void summarizeWorkers(FleetStepContext &Ctx) {
+  const FleetInstance &State = Ctx.State_;
   PlacerState &Placer = Ctx.State_.Placing_;
-  if (Ctx.Now_ - Placer.BacklogComputedAt_ < Options.SlownessRefreshInterval_)
-    return Placer.Backlog_;
-  Placer.BacklogComputedAt_ = Ctx.Now_;
-  double Work = 0; // milli-core milliseconds
-  double Cores = 0;
+  if (Ctx.Now_ - Placer.SummarizedAt_ < State.Options_.Placer_.SummaryInterval_)
+    return;
+  Placer.SummarizedAt_ = Ctx.Now_;
+  Placer.MedianSlowness_ = medianSlowness(Placer);
+  FleetCapacity &Capacity = Placer.Capacity_;
+  Capacity.OpenMilliCores_ = 0;
+  for (const auto &[Id, Worker] : Placer.Workers_) {
+    if (Worker.Held_.IsOpen_)
+      Capacity.OpenMilliCores_ += Worker.Held_.Report_.Capacity_.MilliCores_;
+  }
+  Capacity.ListedMilliCores_ = listedMilliCores(State);
+  Capacity.LastSettledAt_ =
+      isSettled(Capacity, State.Options_.Placer_.Overload_)
+          ? Ctx.Now_
+          : std::max(Capacity.LastSettledAt_, State.StartedAt_);
+}
+
+static bool isSettling(const FleetStepContext &Ctx) {
+  return isSettling(Ctx.State_.Placing_.Capacity_,
+                    Ctx.State_.Options_.Placer_.Overload_, Ctx.Now_);
+}
+
+// Work of all waiting tasks, in thousandths of a core times milliseconds.
+static double waitingWork(const PlacerState &Placer) {
+  double Work = 0;
   for (const auto &[Key, Job] : Placer.Jobs_) {
     const PlaceRequest &Request = Job.Request_;
     Work += static_cast<double>(Request.Tasks_.size()) *
             static_cast<double>(Request.Needs_.MilliCores_) *
             static_cast<double>(Request.Estimate_.Count_);
   }
-  for (const auto &[Id, Worker] : Placer.Workers_) {
-    if (Worker.Held_.IsOpen_)
-      Cores += static_cast<double>(Worker.Held_.Report_.Capacity_.MilliCores_);
-  }
-  Placer.Backlog_ =
-      Cores > 0 ? Work / Cores
-                : static_cast<double>(Options.NoWorkersRetryAfter_.Count_);
-  return Placer.Backlog_;
-}
-
-static Milliseconds retryAfter(FleetStepContext &Ctx) {
-  const PlacerOptions &Options = Ctx.State_.Options_.Placer_;
-  // Jitter, so that callers refused together do not retry together.
-  const double Spread = 1.0 + uniformUnit(Ctx.State_.Generator_);
-  const auto Wait = static_cast<int64_t>(backlog(Ctx) * Spread);
-  return {std::clamp(Wait, Options.MinRetryAfter_.Count_,
-                     Options.MaxRetryAfter_.Count_)};
+  return Work;
 }
 
 // Holders send changes at once, and each heartbeat confirms that there are no
@@ -283,13 +299,17 @@
 
 static void refuseJob(FleetStepContext &Ctx, PlacerJob &Job,
                       std::string_view Why) {
-  const Milliseconds RetryAfter = retryAfter(Ctx);
+  const RetryAfterOptions &Retry = Ctx.State_.Options_.Placer_.Retry_;
+  const PlacerState &Placer = Ctx.State_.Placing_;
+  const Milliseconds Backlog = backlogTime(
+      waitingWork(Placer), Placer.Capacity_, isSettling(Ctx), Retry);
+  const Milliseconds RetryAfter =
+      retryAfter(Backlog, uniformUnit(Ctx.State_.Generator_), Retry);
   log(Ctx, "place_refused", Job.Request_.Id_,
       {{"why", std::string(Why)},
        {"waited_ms", toString(Ctx.Now_ - Job.ArrivedAt_)},
-       {"waiting_jobs", std::to_string(countWaitingJobs(Ctx.State_.Placing_))},
-       {"open_workers",
-        std::to_string(Ctx.State_.Placing_.OpenWorkers_.FreeCores_.size())},
+       {"waiting_jobs", std::to_string(countWaitingJobs(Placer))},
+       {"open_workers", std::to_string(Placer.OpenWorkers_.FreeCores_.size())},
        {"view_age_ms", toString(oldestView(Ctx))},
        {"retry_after_ms", toString(RetryAfter)}});
   Job.Request_.Tasks_.clear();
@@ -340,10 +360,10 @@
          static_cast<double>(Job.Request_.Estimate_.Count_);
 }
 
-static void placeJob(FleetStepContext &Ctx, PlacerJob &Job,
-                     double MedianSlowness) {
+static void placeJob(FleetStepContext &Ctx, PlacerJob &Job) {
   PlacerState &Placer = Ctx.State_.Placing_;
-  TaskRequirements Requirements{.Job_ = Job, .MedianSlowness_ = MedianSlowness};
+  TaskRequirements Requirements{.Job_ = Job,
+                                .MedianSlowness_ = Placer.MedianSlowness_};
   if (latestStart(Job) >= Ctx.Now_)
     Requirements.LatestEnd_ = Job.ObjectiveAt_;
   Placed Answer{.Job_ = Job.Request_.Job_};
@@ -386,7 +406,7 @@
   if (Unplaceable.covers(Job, MaxSlowness))
     return true;
   increment(Ctx.State_.Counters_, Counter::PlacementsTried);
-  placeJob(Ctx, Job, medianSlowness(Ctx));
+  placeJob(Ctx, Job);
   const bool IsWaiting = !Job.Request_.Tasks_.empty();
   if (IsWaiting)
     Unplaceable.add(Job, MaxSlowness);
@@ -416,12 +436,10 @@
   }
 }
 
-// When the fleet is overloaded for seconds, a late job that has not started
-// would only wait or delay jobs that can be in time, so it is refused while
-// such jobs wait.
-static bool isLateRefused(const FleetStepContext &Ctx) {
-  return Ctx.State_.Placing_.InTime_.Size_ > 0 &&
-         Ctx.State_.Options_.Placer_.RefusesLate_;
+static bool refusesLateJobs(const FleetStepContext &Ctx) {
+  const PlacerState &Placer = Ctx.State_.Placing_;
+  return refusesLateJobs(Placer.InTime_.Size_, Placer.Capacity_,
+                         Ctx.State_.Options_.Placer_.Overload_, Ctx.Now_);
 }
 
 static void placeAllJobs(FleetStepContext &Ctx, uint32_t MaxInVain) {
@@ -429,7 +447,7 @@
   Placer.NewJobs_.clear();
   UnplaceableRequirements Unplaceable;
   placeQueue(Ctx, Placer.InTime_, MaxInVain, Unplaceable);
-  if (!isLateRefused(Ctx))
+  if (!refusesLateJobs(Ctx))
     placeQueue(Ctx, Placer.Late_, MaxInVain, Unplaceable);
 }
 
@@ -469,6 +487,7 @@
 
 void reviewWaitingJobs(FleetStepContext &Ctx) {
   PlacerState &Placer = Ctx.State_.Placing_;
+  summarizeWorkers(Ctx);
   moveLateJobs(Ctx);
   placeAllJobs(Ctx, UINT32_MAX);
   std::vector<PlacerJobKey> Waiting;
@@ -478,7 +497,7 @@
   }
   for (const PlacerJobKey &Key : Waiting) {
     PlacerJob &Job = Placer.Jobs_.at(Key);
-    if (refuseIfOutOfTime(Ctx, Key) || !isLateRefused(Ctx) || !Job.IsLate_ ||
+    if (refuseIfOutOfTime(Ctx, Key) || !refusesLateJobs(Ctx) || !Job.IsLate_ ||
         isStarted(Job))
       continue;
     refuseJob(Ctx, Job, "late, while others can be in time");
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -2,6 +2,7 @@
 #define MARJORAMBEND_FLEET_PLACERSTATE_H
 
 #include "marjorambend/src/Fleet/FleetMessages.h"
+#include "marjorambend/src/Scheduling/Overload.h"
 #include "marjorambend/src/Scheduling/WaitingQueue.h"
 
 #include <cstdint>
@@ -72,12 +73,10 @@
   WaitingQueue InTime_;
   WaitingQueue Late_; ///< The other waiting jobs; moved there by ticks.
   WorkerIndex OpenWorkers_;
-  double MedianSlowness_ = 1.0;   ///< Of the open workers.
-  Milliseconds MedianComputedAt_; ///< When it was computed.
-  double Backlog_ = 0; ///< Time for the open workers to do all waiting
-                       ///< work, in milliseconds.
-  Milliseconds BacklogComputedAt_; ///< When it was computed.
-  bool IsDirty_ = false; ///< Any waiting task may have become placeable.
+  double MedianSlowness_ = 1.0; ///< Of the open workers.
+  FleetCapacity Capacity_;
+  Milliseconds SummarizedAt_; ///< When these two were computed.
+  bool IsDirty_ = false;      ///< Any waiting task may have become placeable.
   std::vector<PlacerJobKey> NewJobs_; ///< Not tried since their request.
 };
 
--- a/coordination/marjorambend/src/Fleet/Roster.cpp
+++ b/coordination/marjorambend/src/Fleet/Roster.cpp
@@ -121,4 +121,19 @@
                                                         Options.DemotionDelay_);
 }
 
+bool areCoordinatorsPresent(
+    const Roster &Known, const RosterOptions &Options, const InstanceInfo &Self,
+    const std::function<bool(const InstanceInfo &)> &IsCoordinating) {
+  std::size_t Present = Known.IsChosen_ ? 1 : 0;
+  for (const RosterEntry &One : Known.Ranked_) {
+    if (One.Info_.DataCentre_ != Self.DataCentre_ ||
+        !Known.Wanted_.contains(linkAddressOf(One.Info_)))
+      continue;
+    if (!IsCoordinating(One.Info_))
+      return false;
+    ++Present;
+  }
+  return Present >= Options.MinCoordinators_;
+}
+
 } // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/Roster.h
+++ b/coordination/marjorambend/src/Fleet/Roster.h
@@ -75,6 +75,15 @@
     Milliseconds Now,
     const std::function<Presence(const InstanceInfo &)> &PresenceOf);
 
+/// \brief Whether all instances that should coordinate in the data centre of
+/// \p Self do so, and are at least RosterOptions::MinCoordinators_ with it.
+///
+/// If they do, they agree on who claims which worker. While instances still
+/// join the roster, as at the first start of a deployment, there are fewer.
+bool areCoordinatorsPresent(
+    const Roster &Known, const RosterOptions &Options, const InstanceInfo &Self,
+    const std::function<bool(const InstanceInfo &)> &IsCoordinating);
+
 /// \brief Records that the session with the instance of that name has ended.
 void markLost(Roster &Known, const std::string &Name);
 
--- a/coordination/test/Fleet/RosterTests.cpp
+++ b/coordination/test/Fleet/RosterTests.cpp
@@ -56,6 +56,23 @@
   }
 };
 
+TEST(ARoster, KnowsWhetherAllCoordinatorsOfADataCentreArePresent) {
+  const auto IsPresent = [this](const std::string &Self) {
+    review(Self);
+    return areCoordinatorsPresent(
+        Known_, Options_, instance(Self, "a", 500),
+        [this](const InstanceInfo &Info) { return Seen_.contains(Info.Name_); });
+  };
+  reach({"a1", "b0"});
+  CHECK_FALSE(IsPresent("a0"));
+  reach({"a2"});
+  CHECK(IsPresent("a0"));
+  // At the first start of a deployment few instances are listed.
+  setRoster(Known_, std::vector{instance("a1", "a", 500)},
+            instance("a0", "a", 500));
+  CHECK_FALSE(IsPresent("a0"));
+}
+
 TEST(ARoster, HasTheStrongestOfEachDataCentreCoordinate) {
   review("a3");
   STRCMP_EQUAL("a0 a1 a2 b0 b1 b2 ", wanted().c_str());
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -263,7 +263,7 @@
       return jsonReply(400, R"({"error":"the body is no job"})");
     return encodeAnswer(
         {.Outcome_ = JobOutcome::NotSupported,
-         .RetryAfter_ = State_.Options_.Placer_.MaxRetryAfter_});
+         .RetryAfter_ = State_.Options_.Placer_.Retry_.MaxRetryAfter_});
   }
   Job->Token_ = Request.Token_;
   Job->Id_ = Id;
