Refuse a waiting job as soon as the work ahead makes it late

Cause: at 2.6 times the load jobs waited for all of their slack before they were refused as late.

Change: at each tick the waiting work is compared with the cores at work, in the order of the ranks; a job that has not started and whose slack is less than half of its wait is refused.

--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -270,18 +270,32 @@
                     Ctx.State_.Options_.Placer_.Overload_, Ctx.Now_);
 }
 
-// Work of all waiting tasks, in thousandths of a core times milliseconds.
+// Work of the waiting tasks, in thousandths of a core times milliseconds.
+static double waitingWork(const PlacerJob &Job) {
+  const PlaceRequest &Request = Job.Request_;
+  return static_cast<double>(Request.Tasks_.size()) *
+         static_cast<double>(Request.Needs_.MilliCores_) *
+         static_cast<double>(Request.Estimate_.Count_);
+}
+
 static double waitingWork(const PlacerState &Placer) {
   double Work = 0;
-  for (const auto &[Key, Job] : Placer.Jobs_) {
-    const PlaceRequest &Request = Job.Request_;
-    Work += static_cast<double>(Request.Tasks_.size()) *
-            static_cast<double>(Request.Needs_.MilliCores_) *
-            static_cast<double>(Request.Estimate_.Count_);
-  }
+  for (const auto &[Key, Job] : Placer.Jobs_)
+    Work += waitingWork(Job);
   return Work;
 }
 
+// What is reserved while jobs wait is what the fleet can do at present. Run
+// times are longer than their estimates by the median slowness.
+static double milliCoresAtWork(const PlacerState &Placer) {
+  int64_t Reserved = 0;
+  for (const auto &[Id, Worker] : Placer.Workers_) {
+    if (Worker.Held_.IsOpen_)
+      Reserved += Worker.Reserved_.MilliCores_;
+  }
+  return static_cast<double>(Reserved) / Placer.MedianSlowness_;
+}
+
 // Holders send changes at once, and each heartbeat confirms that there are no
 // others; so the age is the time since the last message.
 static Milliseconds viewAge(const FleetStepContext &Ctx, Incarnation Holder) {
@@ -485,11 +499,34 @@
   }
 }
 
+static void refuseForecastLateJobs(FleetStepContext &Ctx) {
+  PlacerState &Placer = Ctx.State_.Placing_;
+  if (Placer.InTime_.Size_ == 0 || isSettling(Ctx))
+    return;
+  std::vector<ForecastJob> Jobs;
+  for (const auto &[Key, Job] : Placer.Jobs_) {
+    if (Job.Waiting_ && !Job.IsLate_)
+      Jobs.push_back({.Entry_ = *Job.Waiting_,
+                      .Work_ = waitingWork(Job),
+                      .IsStarted_ = isStarted(Job)});
+  }
+  std::sort(Jobs.begin(), Jobs.end(),
+            [](const auto &A, const auto &B) { return A.Entry_ < B.Entry_; });
+  const std::vector<PlacerJobKey> Late =
+      forecastLateJobs(Jobs, milliCoresAtWork(Placer),
+                       Ctx.State_.Options_.Placer_.Overload_, Ctx.Now_);
+  for (const PlacerJobKey &Key : Late) {
+    refuseJob(Ctx, Placer.Jobs_.at(Key), "the work ahead takes too long");
+    removeIfDone(Placer, Key);
+  }
+}
+
 void reviewWaitingJobs(FleetStepContext &Ctx) {
   PlacerState &Placer = Ctx.State_.Placing_;
   summarizeWorkers(Ctx);
   moveLateJobs(Ctx);
   placeAllJobs(Ctx, UINT32_MAX);
+  refuseForecastLateJobs(Ctx);
   std::vector<PlacerJobKey> Waiting;
   for (const auto &[Key, Job] : Placer.Jobs_) {
     if (Job.Waiting_)
--- a/coordination/marjorambend/src/Scheduling/Overload.cpp
+++ b/coordination/marjorambend/src/Scheduling/Overload.cpp
@@ -23,6 +23,26 @@
          !isSettling(Capacity, Options, Now);
 }
 
+std::vector<PlacerJobKey> forecastLateJobs(std::span<const ForecastJob> Jobs,
+                                           double MilliCoresAtWork,
+                                           const OverloadOptions &Options,
+                                           Milliseconds Now) {
+  std::vector<PlacerJobKey> Late;
+  if (!Options.Forecasts_ || MilliCoresAtWork <= 0)
+    return Late;
+  double WorkAhead = 0;
+  for (const ForecastJob &Job : Jobs) {
+    const auto Slack =
+        static_cast<double>((Job.Entry_.LatestStart_ - Now).Count_);
+    const double Wait = WorkAhead / MilliCoresAtWork;
+    if (!Job.IsStarted_ && Slack >= 0 && Wait > Slack * Options.ForecastMargin_)
+      Late.push_back(Job.Entry_.Key_);
+    else
+      WorkAhead += Job.Work_;
+  }
+  return Late;
+}
+
 Milliseconds backlogTime(double Work, const FleetCapacity &Capacity,
                          bool IsSettling, const RetryAfterOptions &Options) {
   const int64_t MilliCores = IsSettling ? std::max(Capacity.OpenMilliCores_,
--- a/coordination/marjorambend/src/Scheduling/Overload.h
+++ b/coordination/marjorambend/src/Scheduling/Overload.h
@@ -1,10 +1,13 @@
 #ifndef MARJORAMBEND_SCHEDULING_OVERLOAD_H
 #define MARJORAMBEND_SCHEDULING_OVERLOAD_H
 
+#include "marjorambend/src/Scheduling/WaitingQueue.h"
 #include "marjorambend/src/Support/Milliseconds.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
+#include <vector>
 
 namespace marjorambend {
 
@@ -21,6 +24,11 @@
   /// Whether a job that can only be late is refused while jobs that can be in
   /// time wait; off for comparison.
   bool RefusesLate_ = true;
+  /// Whether a job is refused as soon as the work ahead of it makes it late.
+  bool Forecasts_ = true;
+  /// A job counts as late once the work ahead takes this multiple of its slack;
+  /// estimates are off by 40%.
+  double ForecastMargin_ = 2.0;
   /// Share of the listed capacity below which workers count as still opening.
   double SettledShare_ = 0.5;
   /// Time after which workers that have not opened are not waited for.
@@ -45,6 +53,24 @@
 bool refusesLateJobs(std::size_t JobsInTime, const FleetCapacity &Capacity,
                      const OverloadOptions &Options, Milliseconds Now);
 
+/// \brief A waiting job, as the forecast sees it.
+struct ForecastJob {
+  WaitingJob Entry_;
+  double Work_ = 0; ///< Thousandths of a core times milliseconds.
+  bool IsStarted_ = false;
+};
+
+/// \brief Returns the jobs that will be late unless others end early.
+///
+/// Load pattern: more load than capacity for seconds. Without a forecast, a job
+/// waits for all of its slack before it is refused.
+/// \param Jobs All waiting jobs, in the order of their ranks.
+/// \param MilliCoresAtWork Capacity that does the work of the queue.
+std::vector<PlacerJobKey> forecastLateJobs(std::span<const ForecastJob> Jobs,
+                                           double MilliCoresAtWork,
+                                           const OverloadOptions &Options,
+                                           Milliseconds Now);
+
 /// \brief Bounds of the retry time in a refusal.
 struct RetryAfterOptions {
   Milliseconds MinRetryAfter_{200};
--- a/coordination/test/Scheduling/OverloadTests.cpp
+++ b/coordination/test/Scheduling/OverloadTests.cpp
@@ -56,3 +56,34 @@
   LONGS_EQUAL(5'000, retryAfter({60'000}, 0, Options_).Count_);
   LONGS_EQUAL(200, retryAfter({0}, 0, Options_).Count_);
 }
+
+TEST_GROUP(AForecast) {
+  OverloadOptions Options_{.ForecastMargin_ = 1.0};
+
+  static ForecastJob job(uint64_t Number, int64_t Slack, double Work) {
+    return {.Entry_ = {.Rank_ = {Slack},
+                       .Key_ = {Incarnation{1}, Number},
+                       .LatestStart_ = {10'000 + Slack}},
+            .Work_ = Work};
+  }
+};
+
+// Load pattern: 2.6 times the load for ten seconds.
+TEST(AForecast, NamesJobsThatTheWorkAheadMakesLate) {
+  std::vector<ForecastJob> Jobs{job(1, 10, 2'000), job(2, 15, 9'000),
+                                job(3, 30, 1'000)};
+  const auto Late = forecastLateJobs(Jobs, 100.0, Options_, {10'000});
+  LONGS_EQUAL(1, Late.size());
+  LONGS_EQUAL(2, Late.front().second); // 20 ms of work are ahead of it
+  Jobs[1].IsStarted_ = true; // its work now delays the third job by 110 ms
+  const auto Later = forecastLateJobs(Jobs, 100.0, Options_, {10'000});
+  LONGS_EQUAL(1, Later.size());
+  LONGS_EQUAL(3, Later.front().second);
+}
+
+TEST(AForecast, NamesNoneIfItIsOffOrNothingIsAtWork) {
+  const std::vector<ForecastJob> Jobs{job(1, 10, 2'000), job(2, 15, 9'000)};
+  CHECK(forecastLateJobs(Jobs, 0.0, Options_, {10'000}).empty());
+  Options_.Forecasts_ = false;
+  CHECK(forecastLateJobs(Jobs, 100.0, Options_, {10'000}).empty());
+}
