--- a/coordination/test/Fleet/RosterTests.cpp
+++ b/coordination/test/Fleet/RosterTests.cpp
@@ -59,9 +59,10 @@
 TEST(ARoster, KnowsWhetherAllCoordinatorsOfADataCentreArePresent) {
   const auto IsPresent = [this](const std::string &Self) {
     review(Self);
-    return areCoordinatorsPresent(
-        Known_, Options_, instance(Self, "a", 500),
-        [this](const InstanceInfo &Info) { return Seen_.contains(Info.Name_); });
+    return areCoordinatorsPresent(Known_, Options_, instance(Self, "a", 500),
+                                  [this](const InstanceInfo &Info) {
+                                    return Seen_.contains(Info.Name_);
+                                  });
   };
   reach({"a1", "b0"});
   CHECK_FALSE(IsPresent("a0"));
