--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -245,13 +245,29 @@
   return Sum;
 }
 
-static void summarizeWorkers(FleetStepContext &Ctx) {
+// Work of the waiting tasks, in thousandths of a core times milliseconds.
+static double waitingWork(const PlacerJob &Job) {
+  const PlaceRequest &Request = Job.Request_;
+  return static_cast<double>(Request.Tasks_.size()) *
+         static_cast<double>(Request.Needs_.MilliCores_) *
+         static_cast<double>(Request.Estimate_.Count_);
+}
+
+static double waitingWork(const PlacerState &Placer) {
+  double Work = 0;
+  for (const auto &[Key, Job] : Placer.Jobs_)
+    Work += waitingWork(Job);
+  return Work;
+}
+
+static void summarizeFleet(FleetStepContext &Ctx) {
   const FleetInstance &State = Ctx.State_;
   PlacerState &Placer = Ctx.State_.Placing_;
   if (Ctx.Now_ - Placer.SummarizedAt_ < State.Options_.Placer_.SummaryInterval_)
     return;
   Placer.SummarizedAt_ = Ctx.Now_;
   Placer.MedianSlowness_ = medianSlowness(Placer);
+  Placer.WaitingWork_ = waitingWork(Placer);
   FleetCapacity &Capacity = Placer.Capacity_;
   Capacity.OpenMilliCores_ = 0;
   for (const auto &[Id, Worker] : Placer.Workers_) {
@@ -270,21 +286,6 @@
                     Ctx.State_.Options_.Placer_.Overload_, Ctx.Now_);
 }
 
-// Work of the waiting tasks, in thousandths of a core times milliseconds.
-static double waitingWork(const PlacerJob &Job) {
-  const PlaceRequest &Request = Job.Request_;
-  return static_cast<double>(Request.Tasks_.size()) *
-         static_cast<double>(Request.Needs_.MilliCores_) *
-         static_cast<double>(Request.Estimate_.Count_);
-}
-
-static double waitingWork(const PlacerState &Placer) {
-  double Work = 0;
-  for (const auto &[Key, Job] : Placer.Jobs_)
-    Work += waitingWork(Job);
-  return Work;
-}
-
 // What is reserved while jobs wait is what the fleet can do at present. Run
 // times are longer than their estimates by the median slowness.
 static double milliCoresAtWork(const PlacerState &Placer) {
@@ -316,7 +317,7 @@
   const RetryAfterOptions &Retry = Ctx.State_.Options_.Placer_.Retry_;
   const PlacerState &Placer = Ctx.State_.Placing_;
   const Milliseconds Backlog = backlogTime(
-      waitingWork(Placer), Placer.Capacity_, isSettling(Ctx), Retry);
+      Placer.WaitingWork_, Placer.Capacity_, isSettling(Ctx), Retry);
   const Milliseconds RetryAfter =
       retryAfter(Backlog, uniformUnit(Ctx.State_.Generator_), Retry);
   log(Ctx, "place_refused", Job.Request_.Id_,
@@ -499,6 +500,7 @@
   }
 }
 
+// Refuses jobs in time for which the work ahead of them leaves too little time.
 static void refuseForecastLateJobs(FleetStepContext &Ctx) {
   PlacerState &Placer = Ctx.State_.Placing_;
   if (Placer.InTime_.Size_ == 0 || isSettling(Ctx))
@@ -523,7 +525,7 @@
 
 void reviewWaitingJobs(FleetStepContext &Ctx) {
   PlacerState &Placer = Ctx.State_.Placing_;
-  summarizeWorkers(Ctx);
+  summarizeFleet(Ctx);
   moveLateJobs(Ctx);
   placeAllJobs(Ctx, UINT32_MAX);
   refuseForecastLateJobs(Ctx);
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -75,7 +75,9 @@
   WorkerIndex OpenWorkers_;
   double MedianSlowness_ = 1.0; ///< Of the open workers.
   FleetCapacity Capacity_;
-  Milliseconds SummarizedAt_; ///< When these two were computed.
+  /// Of all waiting tasks, in thousandths of a core times milliseconds.
+  double WaitingWork_ = 0;
+  Milliseconds SummarizedAt_; ///< When these were computed.
   bool IsDirty_ = false;      ///< Any waiting task may have become placeable.
   std::vector<PlacerJobKey> NewJobs_; ///< Not tried since their request.
 };
