Let explain and losses read log lines by the same functions

Cause: losses had copies of the reading of files, of lines and of a text field that explain has. The wait for the first configuration was checked in two places in the same words.

Change: LogLines.h serves both commands; awaitsConfig() serves both places. A file that cannot be opened is named alike by both.

--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -156,10 +156,16 @@
   return Now + CallerTimeout;
 }
 
+// Whether jobs wait for the first configuration.
+static bool awaitsConfig(const FleetStepContext &Ctx) {
+  const FleetInstance &State = Ctx.State_;
+  return State.Config_.Version_ == 0 &&
+         Ctx.Now_ - State.StartedAt_ < State.Options_.ConfigWait_;
+}
+
 void submitJob(FleetStepContext &Ctx, JobSubmission Submission) {
   FleetInstance &State = Ctx.State_;
-  if (State.Config_.Version_ == 0 &&
-      Ctx.Now_ - State.StartedAt_ < State.Options_.ConfigWait_) {
+  if (awaitsConfig(Ctx)) {
     State.EarlyJobs_.emplace_back(Ctx.Now_, std::move(Submission));
     return;
   }
@@ -227,10 +233,7 @@
 
 void reviewEarlyJobs(FleetStepContext &Ctx) {
   FleetInstance &State = Ctx.State_;
-  const bool IsWaiting =
-      State.Config_.Version_ == 0 &&
-      Ctx.Now_ - State.StartedAt_ < State.Options_.ConfigWait_;
-  if (IsWaiting)
+  if (awaitsConfig(Ctx))
     return;
   for (auto &[ArrivedAt, Submission] : std::exchange(State.EarlyJobs_, {})) {
     // Of the caller's time, only the rest is left.
--- a/ctl/Explain.cpp
+++ b/ctl/Explain.cpp
@@ -1,22 +1,17 @@
 #include "Explain.h"
 
 #include "Commands.h"
+#include "LogLines.h"
 
 #include <algorithm>
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <span>
 
 namespace marjorambend {
 
 using Json = nlohmann::json;
 
-static std::string textOf(const Json &Line, const char *Name) {
-  const auto Found = Line.find(Name);
-  return Found == Line.end() || !Found->is_string() ? std::string()
-                                                    : Found->get<std::string>();
-}
-
 static JobLogLine readLine(const Json &Line, std::string Text) {
   JobLogLine Read{.Instance_ = textOf(Line, "instance"),
                   .Event_ = textOf(Line, "event"),
@@ -33,16 +28,11 @@
 }
 
 void collectLines(std::istream &From, std::string_view Id, JobHistory &Into) {
-  std::string Text;
-  while (std::getline(From, Text)) {
-    const std::size_t Brace = Text.find('{');
-    if (Brace == std::string::npos || Text.find(Id) == std::string::npos)
-      continue;
-    Text.erase(0, Brace);
-    const Json Line = Json::parse(Text, nullptr, false);
-    if (Line.is_object() && textOf(Line, "job") == Id)
-      Into.Lines_.push_back(readLine(Line, Text));
-  }
+  readLogLines(From, Id,
+               [Id, &Into](const Json &Line, const std::string &Text) {
+                 if (textOf(Line, "job") == Id)
+                   Into.Lines_.push_back(readLine(Line, Text));
+               });
 }
 
 // Describes the last line with one of the given events.
@@ -106,17 +96,12 @@
     return ExitUsage;
   }
   JobHistory History;
-  for (std::size_t Index = 2; Index < Arguments.size(); ++Index) {
-    std::ifstream File(Arguments[Index]);
-    if (!File) {
-      std::cerr << "marjorambendctl: " << Arguments[Index]
-                << " cannot be opened\n";
-      return ExitUsage;
-    }
-    collectLines(File, Arguments[1], History);
-  }
-  if (Arguments.size() == 2)
-    collectLines(std::cin, Arguments[1], History);
+  const bool IsRead =
+      readLogFiles(std::span(Arguments).subspan(2), [&](std::istream &From) {
+        collectLines(From, Arguments[1], History);
+      });
+  if (!IsRead)
+    return ExitUsage;
   if (History.Lines_.empty()) {
     std::cerr << "marjorambendctl: no line is about job " << Arguments[1]
               << "; it may have been sampled out, see OPERATIONS.md\n";
--- a/ctl/Losses.cpp
+++ b/ctl/Losses.cpp
@@ -1,22 +1,17 @@
 #include "Losses.h"
 
 #include "Commands.h"
+#include "LogLines.h"
 
-#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <span>
 
 namespace marjorambend {
 
 using Json = nlohmann::json;
 
-static std::string textOf(const Json &Line, const char *Name) {
-  const auto Found = Line.find(Name);
-  return Found == Line.end() || !Found->is_string() ? std::string()
-                                                    : Found->get<std::string>();
-}
-
 static int64_t numberOf(const Json &Line, const char *Name) {
   const auto Found = Line.find(Name);
   if (Found == Line.end())
@@ -55,21 +50,13 @@
 void collectLosses(std::istream &From, int64_t WindowMs, LossTable &Into) {
   std::map<std::string, std::string> Refusals; // by job
   std::vector<Json> Answers;
-  std::string Text;
-  while (std::getline(From, Text)) {
-    const std::size_t Brace = Text.find('{');
-    if (Brace == std::string::npos)
-      continue;
-    Text.erase(0, Brace);
-    Json Line = Json::parse(Text, nullptr, false);
-    if (!Line.is_object())
-      continue;
+  readLogLines(From, {}, [&](const Json &Line, const std::string &) {
     const std::string Event = textOf(Line, "event");
     if (Event == "place_refused")
       Refusals[textOf(Line, "job")] = textOf(Line, "why");
     else if (Event == "answer")
-      Answers.push_back(std::move(Line));
-  }
+      Answers.push_back(Line);
+  });
   for (const Json &Line : Answers) {
     const auto Refusal = Refusals.find(textOf(Line, "job"));
     const bool IsRefused =
@@ -105,16 +92,12 @@
     return ExitUsage;
   }
   LossTable Table;
-  if (Arguments.size() < 2)
-    collectLosses(std::cin, WindowMs, Table);
-  for (std::size_t Index = 1; Index < Arguments.size(); ++Index) {
-    std::ifstream From(Arguments[Index]);
-    if (!From) {
-      std::cerr << "marjorambendctl: cannot read " << Arguments[Index] << '\n';
-      return ExitUsage;
-    }
-    collectLosses(From, WindowMs, Table);
-  }
+  const bool IsRead =
+      readLogFiles(std::span(Arguments).subspan(1), [&](std::istream &From) {
+        collectLosses(From, WindowMs, Table);
+      });
+  if (!IsRead)
+    return ExitUsage;
   printLosses(Table, std::cout);
   return ExitDone;
 }
