Split the placer's queue from its state, and refuse jobs in one way

Each refusal was followed by the same removal of the job, and the forecast collected and sorted jobs that the queue has in order.

Change: PlacerQueue.cpp places and refuses, Placer.cpp keeps workers and jobs; refuseJob() removes the job; the forecast walks the queue.

--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -79,7 +79,8 @@
 void handleWorkersRead(FleetStepContext &Ctx, const WorkersRead &Read);
 /// @}
 
-/// Placement of the tasks of all instances; see Placer.cpp.
+/// Placement of the tasks of all instances; see Placer.cpp and
+/// PlacerQueue.cpp.
 /// @{
 void handleWorkersHeld(FleetStepContext &Ctx, Incarnation Holder,
                        const WorkersHeld &Held);
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/PlacerStep.h
@@ -0,0 +1,36 @@
+#ifndef MARJORAMBEND_FLEET_PLACERSTEP_H
+#define MARJORAMBEND_FLEET_PLACERSTEP_H
+
+#include "marjorambend/src/Fleet/FleetStep.h"
+
+#include <string>
+
+namespace marjorambend::internal {
+
+/// \brief Changes what is reserved on a worker, if it is known.
+void addReservation(PlacerState &Placer, const std::string &Id,
+                    const Room &More);
+
+/// \brief The queue that the job's entry belongs to.
+inline WaitingQueue &queueOf(PlacerState &Placer, const PlacerJob &Job) {
+  return Job.IsLate_ ? Placer.Late_ : Placer.InTime_;
+}
+
+/// \brief Removes a job without waiting tasks from its queue, and altogether if
+/// nothing is reserved for it.
+void removeIfDone(PlacerState &Placer, const PlacerJobKey &Key);
+
+/// \brief Whether a task of the job runs or has run.
+inline bool isStarted(const PlacerJob &Job) {
+  return Job.Request_.IsStarted_ || !Job.Reservations_.empty();
+}
+
+/// \brief Latest start at which a task of the estimated run time meets the
+/// objective.
+inline Milliseconds latestStart(const PlacerJob &Job) {
+  return Job.ObjectiveAt_ - Job.Request_.Estimate_;
+}
+
+} // namespace marjorambend::internal
+
+#endif // MARJORAMBEND_FLEET_PLACERSTEP_H
