Log stops that a worker has not confirmed

Logs did not show whether a run that should have ended was still running because its stop was lost, or for another reason. The holder now logs stop_unconfirmed with the time since the first stop and what is left of the lease.

--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -18,6 +18,8 @@
 /// enough to renew the worker's lease.
 bool canRenewLease(const FleetStepContext &Ctx, const WorkerHold &Hold);
 Milliseconds leaseEnd(const FleetStepContext &Ctx, const WorkerHold &Hold);
+/// Returns the time left of the lease as it was last renewed.
+Milliseconds leaseLeft(const FleetStepContext &Ctx, const WorkerHold &Hold);
 /// Returns the time by which the lease has ended in any case, whichever holder
 /// renewed it last.
 Milliseconds latestLeaseEnd(const FleetStepContext &Ctx,
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -67,9 +67,7 @@
          Options.RetryDelay_;
 }
 
-// Time left of the lease as it was last renewed.
-static Milliseconds leaseLeft(const FleetStepContext &Ctx,
-                              const WorkerHold &Hold) {
+Milliseconds leaseLeft(const FleetStepContext &Ctx, const WorkerHold &Hold) {
   const Milliseconds End =
       Hold.LeaseSentAt_ + Ctx.State_.Options_.Holder_.Lease_;
   return std::max(End - Ctx.Now_, Milliseconds{0});
@@ -293,6 +291,8 @@
   if (Run.IsStopInFlight_)
     return;
   Run.IsStopInFlight_ = true;
+  if (Run.StopSentAt_.Count_ == 0)
+    Run.StopSentAt_ = Ctx.Now_;
   Ctx.Out_.push_back(StopRun{targetOf(Hold), Id});
 }
 
--- a/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
+++ b/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
@@ -148,6 +148,13 @@
   case OrderResult::Unknown:
   case OrderResult::NotDelivered:
   case OrderResult::Unhealthy:
+    log(Ctx, "stop_unconfirmed", Answer.Run_.Job_,
+        {{"task", std::to_string(Answer.Run_.Task_)},
+         {"attempt", std::to_string(Answer.Run_.Attempt_)},
+         {"worker", Answer.Worker_},
+         {"result", nameOf(Answer.Result_)},
+         {"after_ms", toString(Ctx.Now_ - Run->StopSentAt_)},
+         {"lease_left_ms", toString(leaseLeft(Ctx, *Hold))}});
     Run->NextStopAt_ = Ctx.Now_ + Ctx.State_.Options_.Holder_.RetryDelay_;
     return;
   default:
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -28,6 +28,7 @@
   Milliseconds StartedAt_;
   double Percent_ = -1; ///< Last listed progress; -1 before the first.
   Milliseconds ProgressAt_;
+  Milliseconds StopSentAt_;     ///< When a stop was first sent.
   Milliseconds NextStopAt_;     ///< When the stop is to be sent again.
   bool IsStopInFlight_ = false; ///< A stop is not answered yet.
   /// A start order was not answered and may still arrive; no later incarnation
--- a/coordination/test/Fleet/LineTests.cpp
+++ b/coordination/test/Fleet/LineTests.cpp
@@ -57,6 +57,18 @@
                fieldOf(Wanted, "run_start", "lease_left_ms").c_str());
 }
 
+TEST(TheLinesOfAJob, SayHowLongAStopHasNotBeenConfirmed) {
+  Instance_.handle(Instance_.job(7, 1));
+  Instance_.answerStart(OrderResult::Accepted);
+  Instance_.handle(JobAbandoned{1});
+  Instance_.advance(80);
+  const FleetActions Lost = Instance_.handle(
+      StopAnswered{"w", {7, 0, 1}, OrderResult::Unknown, std::nullopt});
+  STRCMP_EQUAL("80", fieldOf(Lost, "stop_unconfirmed", "after_ms").c_str());
+  STRCMP_EQUAL("no_answer",
+               fieldOf(Lost, "stop_unconfirmed", "result").c_str());
+}
+
 TEST(TheLinesOfAJob, SayHowOldTheOldestViewIsWhereItIsRefused) {
   meetHolder();
   Instance_.advance(60);
