End a run with its lease if its stop is lost

A task could have two runs at the same time: its caller resubmits the job 1,300 ms after it was lost or given up, while the first run went on.

Cause: a lease covers all runs of a worker, and its renewal left out runs that were being stopped. While the stops of one run got no answer and polls did, the lease, and the run, went on without a bound.

The holder now records when the origin last needed a run: at the order to stop it, or at the last message of an origin that is lost. An origin that still waits for a hung run keeps the lease as before.

--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -208,15 +208,16 @@
   log(Ctx, "instance_down", 0,
       {{"other", Found->second.Info_.Name_},
        {"silent_ms", toString(Ctx.Now_ - Found->second.HeardAt_)}});
-  Milliseconds &LastMessage =
+  const Milliseconds LastMessage = Found->second.HeardAt_;
+  Milliseconds &DataCentreHeardAt =
       State.DataCentreHeardAt_[Found->second.Info_.DataCentre_];
-  LastMessage = std::max(LastMessage, Found->second.HeardAt_);
+  DataCentreHeardAt = std::max(DataCentreHeardAt, LastMessage);
   const std::string Name = Found->second.Info_.Name_;
   State.Members_.erase(Found);
   markLost(State.Roster_, Name);
   chooseCoordinators(Ctx);
   removeInstanceFromPlacer(Ctx, Run);
-  stopRunsOfOrigin(Ctx, Run);
+  stopRunsOfOrigin(Ctx, Run, LastMessage);
   handleHolderLoss(Ctx, Run, Name);
   choosePlacer(Ctx);
   reviewHolds(Ctx);
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -56,7 +56,10 @@
 void handlePollAnswer(FleetStepContext &Ctx, const PollAnswered &Listed);
 /// Updates all held workers at a tick, and releases those that are due.
 void tickHolds(FleetStepContext &Ctx);
-void stopRunsOfOrigin(FleetStepContext &Ctx, Incarnation Origin);
+/// Stops the runs of an origin whose session has ended; its last message was
+/// received at \p LastMessage.
+void stopRunsOfOrigin(FleetStepContext &Ctx, Incarnation Origin,
+                      Milliseconds LastMessage);
 void applyWorkerList(FleetStepContext &Ctx, const WorkersRead &Read);
 /// Claims workers, and closes those that other instances should hold.
 void reviewHolds(FleetStepContext &Ctx);
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -14,8 +14,8 @@
 HeldRun *findRun(WorkerHold &Hold, const RunId &Id);
 WorkerTarget targetOf(const WorkerHold &Hold);
 bool isOpen(const WorkerHold &Hold, Milliseconds Now);
-/// Whether the last message from each origin of the worker's runs is recent
-/// enough to renew the worker's lease.
+/// Whether the worker's lease may be renewed: each of its runs was needed by
+/// its origin recently, or has received its stop.
 bool canRenewLease(const FleetStepContext &Ctx, const WorkerHold &Hold);
 Milliseconds leaseEnd(const FleetStepContext &Ctx, const WorkerHold &Hold);
 /// Returns the time left of the lease as it was last renewed.
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -34,20 +34,32 @@
          Hold.EjectedUntil_ <= Now;
 }
 
+// When the origin is known to have last needed the run; not set if nothing is
+// known.
+static std::optional<Milliseconds> lastNeededAt(const FleetStepContext &Ctx,
+                                                const HeldRun &Run) {
+  if (Run.LastNeededAt_)
+    return Run.LastNeededAt_;
+  if (Run.Origin_ == Ctx.State_.Self_.Run_)
+    return Ctx.Now_;
+  const auto Origin = Ctx.State_.Members_.find(Run.Origin_);
+  if (Origin == Ctx.State_.Members_.end())
+    return std::nullopt;
+  return Origin->second.HeardAt_;
+}
+
 // A lease covers all runs of a worker, so it must not be renewed for other runs
-// while the origin of one of them may be lost.
+// while the origin of one of them may be lost, or while a run that is no longer
+// needed may not have received its stop.
 bool canRenewLease(const FleetStepContext &Ctx, const WorkerHold &Hold) {
-  const FleetInstance &State = Ctx.State_;
-  for (const auto &[Id, Run] : Hold.Runs_) {
-    if (Run.Origin_ == State.Self_.Run_ || Run.Phase_ == RunPhase::Stopping)
-      continue;
-    const auto Origin = State.Members_.find(Run.Origin_);
-    if (Origin == State.Members_.end() ||
-        Ctx.Now_ - Origin->second.HeardAt_ >
-            State.Options_.Holder_.OriginTimeout_)
-      return false;
-  }
-  return true;
+  const Milliseconds Timeout = Ctx.State_.Options_.Holder_.OriginTimeout_;
+  return std::all_of(Hold.Runs_.begin(), Hold.Runs_.end(),
+                     [&Ctx, Timeout](const auto &Entry) {
+                       const HeldRun &Run = Entry.second;
+                       const auto NeededAt = lastNeededAt(Ctx, Run);
+                       return Run.IsStopConfirmed_ ||
+                              (NeededAt && Ctx.Now_ - *NeededAt <= Timeout);
+                     });
 }
 
 // The clock offset was measured on receipt of the worker's last answer, so the
@@ -299,15 +311,23 @@
 void stopRun(FleetStepContext &Ctx, const StopOrder &Order) {
   WorkerHold *Hold = findHold(Ctx.State_, Order.Worker_);
   HeldRun *Run = Hold == nullptr ? nullptr : findRun(*Hold, Order.Run_);
-  if (Run != nullptr && Run->Phase_ != RunPhase::Stopping)
+  if (Run == nullptr)
+    return;
+  Run->LastNeededAt_ = lastNeededAt(Ctx, *Run);
+  if (Run->Phase_ != RunPhase::Stopping)
     sendStop(Ctx, *Hold, Order.Run_, *Run);
 }
 
-void stopRunsOfOrigin(FleetStepContext &Ctx, Incarnation Origin) {
+void stopRunsOfOrigin(FleetStepContext &Ctx, Incarnation Origin,
+                      Milliseconds LastMessage) {
   for (auto &[Id, Hold] : Ctx.State_.Holds_) {
-    for (auto &[Run, State] : Hold.Runs_) {
-      if (State.Origin_ == Origin && State.Phase_ != RunPhase::Stopping)
-        sendStop(Ctx, Hold, Run, State);
+    for (auto &[Key, Run] : Hold.Runs_) {
+      if (Run.Origin_ != Origin)
+        continue;
+      if (!Run.LastNeededAt_)
+        Run.LastNeededAt_ = LastMessage;
+      if (Run.Phase_ != RunPhase::Stopping)
+        sendStop(Ctx, Hold, Key, Run);
     }
   }
 }
--- a/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
+++ b/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
@@ -158,6 +158,7 @@
     Run->NextStopAt_ = Ctx.Now_ + Ctx.State_.Options_.Holder_.RetryDelay_;
     return;
   default:
+    Run->IsStopConfirmed_ = true;
     awaitNextPoll(*Hold, *Run);
     Run->NextStopAt_ = {INT64_MAX};
     pollSoon(Ctx, *Hold);
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -31,6 +31,11 @@
   Milliseconds StopSentAt_;     ///< When a stop was first sent.
   Milliseconds NextStopAt_;     ///< When the stop is to be sent again.
   bool IsStopInFlight_ = false; ///< A stop is not answered yet.
+  /// The worker has answered a stop, so that the run ends within milliseconds.
+  bool IsStopConfirmed_ = false;
+  /// When the origin is known to have last needed the run; not set while it may
+  /// still need it.
+  std::optional<Milliseconds> LastNeededAt_;
   /// A start order was not answered and may still arrive; no later incarnation
   /// of the worker may accept it.
   bool IsStartUnconfirmed_ = true;
