--- a/transport/test/HttpTests.cpp
+++ b/transport/test/HttpTests.cpp
@@ -152,6 +152,7 @@
     Loop_.stop();
   });
   Loop_.run();
+  CHECK(Disconnected_.has_value());
   CHECK_FALSE(Answered_.has_value());
 }
 
