--- a/coordination/test/Simulation/FleetSimulation.cpp
+++ b/coordination/test/Simulation/FleetSimulation.cpp
@@ -499,6 +499,14 @@
 
 void FleetSimulation::performStop(std::size_t Index, const StopRun &Stop) {
   const uint64_t Epoch = Nodes_[Index].Epoch_;
+  if (Options_.InjectedBug_ == InjectedFleetBug::ConfirmUnsentStops) {
+    after(LocalDelay, [this, Index, Epoch, Stop] {
+      deliver(Index, Epoch,
+              StopAnswered{Stop.Worker_.Id_, Stop.Run_, OrderResult::Accepted,
+                           std::nullopt});
+    });
+    return;
+  }
   sendOrder(
       Index, Stop.Worker_,
       [this, Index, Epoch, Stop](SimWorker &Worker) {
--- a/coordination/test/Simulation/FleetSimulation.h
+++ b/coordination/test/Simulation/FleetSimulation.h
@@ -41,6 +41,7 @@
 enum class InjectedFleetBug : uint8_t {
   None,
   DropStopOrders,            ///< Stop orders are not sent.
+  ConfirmUnsentStops,        ///< The same, and they count as confirmed.
   TreatUnknownStartAsNotRun, ///< An unanswered start counts as not delivered.
   HideDrains,                ///< The worker list omits the draining state.
   ReportAllAsNotRun,         ///< Failed jobs are always answered as not run.
