Check that no start overloads a worker whose capacity shrinks

Cause: the users' workers may shrink and grow again while they run. Neither the module tests nor the simulation had such workers, and simulated workers always rejected what exceeds their capacity.

Change: simulated workers shrink to 0 to 80% for 0.5 to 6 s and report it up to 1.5 s later; with WorkersGuardCapacity_ off they start whatever they are told. A start may not bring such a worker over the largest capacity of the last 4.5 s (contact time and one report); the check rests while the sender's list is unavailable and for 3 s after. The injected bug HideShrinks shows that the check detects stale capacities.

Result: no fault found.

--- a/coordination/test/Simulation/FleetPromises.cpp
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -91,6 +91,17 @@
   return Options;
 }
 
+/// Workers shrink and grow again under the faults of briefRun.
+static FleetSimulationOptions shrinkRun(uint64_t Seed) {
+  FleetSimulationOptions Options = briefRun(Seed);
+  auto UpTo = makeCountGenerator(Seed ^ 0x8EBC6AF09C88C6E3ULL);
+  Options.Shrinks_ = 1 + UpTo(7);
+  Options.WorkersGuardCapacity_ = UpTo(2) == 0;
+  Options.LoadUntil_ = {7'500};
+  Options.Duration_ = {13'500};
+  return Options;
+}
+
 using OptionsMaker = FleetSimulationOptions (*)(uint64_t Seed);
 
 /// Fails a property with the seed and its violations, if there are any.
@@ -126,9 +137,11 @@
   const uint64_t SeedNumber = std::strtoull(Seed, nullptr, 10);
   const bool IsBrief = std::getenv("MARJORAMBEND_BRIEF") != nullptr;
   const bool IsStandIn = std::getenv("MARJORAMBEND_STAND_IN") != nullptr;
-  FleetSimulationOptions Options = IsStandIn ? standInRun(SeedNumber)
-                                   : IsBrief ? briefRun(SeedNumber)
-                                             : allFaults(SeedNumber);
+  const bool IsShrink = std::getenv("MARJORAMBEND_SHRINK") != nullptr;
+  FleetSimulationOptions Options = IsStandIn  ? standInRun(SeedNumber)
+                                   : IsShrink ? shrinkRun(SeedNumber)
+                                   : IsBrief  ? briefRun(SeedNumber)
+                                              : allFaults(SeedNumber);
   Options.IgnoresOrdersBeforeAnyPoll_ =
       std::getenv("MARJORAMBEND_STRICT") == nullptr;
   STRCMP_EQUAL("", violationsIn(Options).c_str());
@@ -156,6 +169,14 @@
   }));
 }
 
+TEST(FleetPromises_, NoStartOverloadsAWorkerThatHasShrunk) {
+  CHECK(rc::check("no start exceeds the capacity of a worker", [] {
+    const auto Seed = *rc::gen::noShrink(
+        rc::gen::resize(100, rc::gen::arbitrary<uint64_t>()));
+    requireNoViolations(Seed, shrinkRun);
+  }));
+}
+
 // Seeds that failed once, with the cause. They guard against a regression.
 TEST(FleetPromises_, WorldsThatHaveFailedBefore) {
   for (const uint64_t Seed :
@@ -228,6 +249,7 @@
     CHECK(isDetected(Bug, anyFaults));
     CHECK(isDetected(Bug, briefRun));
   }
+  CHECK(isDetected(InjectedFleetBug::HideShrinks, shrinkRun));
 }
 
 int main(int Count, char **Arguments) { return runTests(Count, Arguments, 40); }
--- a/coordination/test/Simulation/FleetSimulation.cpp
+++ b/coordination/test/Simulation/FleetSimulation.cpp
@@ -77,6 +77,8 @@
               131'072, 0}};
       Worker.Speed_ =
           Options_.WorkerSpeeds_[Index % Options_.WorkerSpeeds_.size()];
+      Worker.Capacity_ = Worker.FullCapacity_ = Worker.Report_.Capacity_;
+      Worker.GuardsCapacity_ = Options_.WorkersGuardCapacity_;
       restart(Worker, {0});
     }
   }
@@ -473,7 +475,7 @@
   const bool IsLost = chance(Options_.LoseAnswer_);
   sendOrder(
       Index, Start.Worker_,
-      [this, Start, Answer, IsLost, WhenUnknown](SimWorker &Worker) {
+      [this, Index, Start, Answer, IsLost, WhenUnknown](SimWorker &Worker) {
         const Caller &Requester = Callers_.at(Start.Run_.Job_);
         const double Duration =
             Requester.Runs_.at(Start.Run_.Task_) / Worker.Speed_;
@@ -484,8 +486,10 @@
                         .Duration_ = Duration,
                         .WillFail_ = chance(Options_.FailRun_)},
                        Now_);
-        if (Worker.Runs_.size() > Before)
+        if (Worker.Runs_.size() > Before) {
           recordStart(Worker, Start.Run_);
+          checkCapacity(Index, Worker);
+        }
         if (Result != OrderResult::Accepted)
           ++Result_.RejectedStarts_;
         const Milliseconds Clock = Now_ + Worker.ClockOffset_;
@@ -830,6 +834,7 @@
          Nodes_[Index].ClockLag_ = {By};
          after(Duration, [this, Index] { Nodes_[Index].ClockLag_ = {0}; });
        });
+  scheduleShrinks();
 }
 
 void FleetSimulation::freezeNode(std::size_t Index, int64_t Duration) {
@@ -910,6 +915,7 @@
 }
 
 void FleetSimulation::resumeDrainChecks(const std::string &DataCentre) {
+  ListRestoredAt_[DataCentre] = Now_;
   for (auto &[Id, Worker] : Workers_) {
     const bool IsMeant =
         DataCentre.empty() || Worker.Report_.DataCentre_ == DataCentre;
--- a/coordination/test/Simulation/FleetSimulation.h
+++ b/coordination/test/Simulation/FleetSimulation.h
@@ -44,7 +44,8 @@
   TreatUnknownStartAsNotRun, ///< An unanswered start counts as not delivered.
   HideDrains,                ///< The worker list omits the draining state.
   ReportAllAsNotRun,         ///< Failed jobs are always answered as not run.
-  LongLeases                 ///< Leases outlast the resubmission delay.
+  LongLeases,                ///< Leases outlast the resubmission delay.
+  HideShrinks                ///< The worker list shows the full capacity.
 };
 
 /// \brief Load, size and faults of a fleet simulation.
@@ -79,6 +80,8 @@
   uint32_t WorkerCrashes_ = 0;
   uint32_t Drains_ = 0;
   uint32_t ListOutages_ = 0;
+  uint32_t Shrinks_ = 0; ///< Workers whose capacity shrinks for some time.
+  bool WorkersGuardCapacity_ = true;
   /// Probability that an order gets no answer and is carried out only after
   /// 2 s to MaxApplyDelay_.
   double DelayOrder_ = 0;
@@ -212,6 +215,10 @@
   void schedulePartitions();
   void scheduleWorkerFaults();
   void scheduleAddedFaults();
+  void scheduleShrinks();
+  void setCapacity(const std::string &Id, const Room &Capacity);
+  bool wasListUnavailable(const std::string &DataCentre) const;
+  void checkCapacity(std::size_t Index, const SimWorker &Worker);
   Milliseconds randomTimeInLoad();
   std::size_t randomNode();
   std::string randomWorker();
@@ -253,6 +260,8 @@
   std::map<std::pair<uint64_t, uint32_t>, std::string> RunningOn_;
   uint64_t NextToken_ = 1;
   bool IsListUnavailable_ = false;
+  /// End of the last outage of the list by data centre; empty for all.
+  std::map<std::string, Milliseconds> ListRestoredAt_;
   bool IsApplyingDelayedOrder_ = false;
   /// A late order is being applied to a worker that has restarted since and has
   /// not accepted two polls yet.
--- a/coordination/test/Simulation/SimWorker.cpp
+++ b/coordination/test/Simulation/SimWorker.cpp
@@ -108,6 +108,13 @@
   Worker.LeaseEnd_ = std::max(Worker.LeaseEnd_, std::min(LeaseEnd, Max));
 }
 
+Room usedRoom(const SimWorker &Worker) {
+  Room Used;
+  for (const SimRun &One : Worker.Runs_)
+    Used = Used + One.Needs_;
+  return Used;
+}
+
 OrderResult applyStart(SimWorker &Worker, const StartRun &Order, SimRun Run,
                        Milliseconds Now) {
   if (const auto Rejection = checkTarget(Worker, Order.Worker_))
@@ -123,10 +130,8 @@
   if (Highest != Worker.HighestEndedAttempt_.end() &&
       Order.Run_.Attempt_ <= Highest->second)
     return OrderResult::Superseded;
-  Room Used;
-  for (const SimRun &One : Worker.Runs_)
-    Used = Used + One.Needs_;
-  if (!fits(Run.Needs_, Worker.Report_.Capacity_ - Used))
+  if (Worker.GuardsCapacity_ &&
+      !fits(Run.Needs_, Worker.Capacity_ - usedRoom(Worker)))
     return OrderResult::NoRoom;
   Run.Id_ = Order.Run_;
   Run.StartedAt_ = Now;
--- a/coordination/test/Simulation/SimWorker.h
+++ b/coordination/test/Simulation/SimWorker.h
@@ -38,6 +38,12 @@
   Milliseconds ClockOffset_;
   Milliseconds MaxLease_{1'000};
   bool IsUp_ = true;
+  Room FullCapacity_;
+  Room Capacity_; ///< In force; Report_ shows it later.
+  /// Earlier capacities, with the times at which they ended.
+  std::vector<std::pair<Milliseconds, Room>> PreviousCapacities_;
+  /// Whether it rejects starts that exceed its capacity.
+  bool GuardsCapacity_ = true;
   std::optional<Milliseconds> DrainedAt_; ///< When instances could know.
   uint64_t FencingToken_ = 0;
   uint32_t PollsInIncarnation_ = 0; ///< Since its restart, except late ones.
@@ -59,6 +65,9 @@
 void advanceWorker(SimWorker &Worker, Milliseconds Now,
                    const std::function<void(const SimRun &, RunEnd)> &OnEnd);
 
+/// \brief Resources that the worker's runs take.
+Room usedRoom(const SimWorker &Worker);
+
 /// \brief Carries out a start order. \p Run gives the duration and needs.
 OrderResult applyStart(SimWorker &Worker, const StartRun &Order, SimRun Run,
                        Milliseconds Now);
