Believe a worker that rejects starts for want of room

What callers saw: tasks placed again and again on a worker that had shrunk, each time rejected, until its next report had arrived.

Cause: the holder kept to the capacity in the report, which may be 2.1 s old, and the placer left the worker out for 30 ms only. Each rejected start delays its task and is charged.

Change: a worker that rejects a start although its report leaves room counts as smaller than all its runs with this one together, in the resource of which they take the greatest share, until its report changes or for 500 ms. Smaller tasks are still tried. The holder announces the lower capacity before the origin hears of the rejection. A restart ends the limit. The new log line worker_capacity shows each change of the usable capacity and its reason.

Result: IsNotAskedAgainForEachBackOff, StillRunsWhatItRanBefore, IsStillAskedForLess, HasItsNextReportBelieved and DoesNotHaveAnOldReportBelieved failed before.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -163,6 +163,7 @@
   raiseFencingToken(Ctx, Hold);
   awaitNextToken(Hold);
   Hold.ClockOffset_.reset();
+  Hold.CapacityLimit_.reset();
   Hold.AckedThrough_ = 0;
   Hold.Slowness_ = 1.0;
   Hold.ConsecutiveFailures_ = 0;
@@ -272,6 +273,7 @@
   if (Hold.Phase_ == HoldPhase::Claiming)
     loseExpiredStarts(Ctx, Hold);
   resendStops(Ctx, Hold);
+  expireCapacityLimit(Ctx, Hold);
   announceIfChanged(Ctx, Hold);
   if (Hold.Runs_.empty() && Hold.IsClosing_)
     return "handed over";
@@ -320,6 +322,9 @@
       continue;
     }
     const bool WasDraining = Hold.Report_.IsDraining_;
+    const Room UsableBefore = usableCapacity(Hold);
+    if (!(Found->second.Capacity_ == Hold.Report_.Capacity_))
+      Hold.CapacityLimit_.reset();
     // Takes over a new incarnation only from the worker's own lists.
     const int64_t KnownIncarnation = Hold.Report_.Incarnation_;
     Hold.Report_ = Found->second;
@@ -328,6 +333,7 @@
       log(Ctx, "worker_draining", 0,
           {{"worker", Id},
            {"is_draining", Hold.Report_.IsDraining_ ? "true" : "false"}});
+    logCapacityChange(Ctx, Hold, UsableBefore, "its report has changed");
     announceWorker(Ctx, Hold);
   }
   reviewHolds(Ctx);
@@ -446,9 +452,7 @@
 void sendHeldWorkers(FleetStepContext &Ctx, Incarnation To) {
   WorkersHeld Message{.HighestToken_ = Ctx.State_.HighestToken_};
   for (const auto &[Id, Hold] : Ctx.State_.Holds_)
-    Message.Workers_.push_back({.Report_ = Hold.Report_,
-                                .IsOpen_ = isOpen(Hold, Ctx.Now_),
-                                .Slowness_ = Hold.Slowness_});
+    Message.Workers_.push_back(describeWorker(Hold, Ctx.Now_));
   if (!Message.Workers_.empty())
     sendMessage(Ctx, To, std::move(Message));
 }
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -43,6 +43,9 @@
   /// Age after which an unanswered order is no longer carried out; the users'
   /// workers carry out delayed orders after 2 to 12 seconds.
   Milliseconds MaxOrderDelay_{13'000};
+  /// Time for which a worker that has rejected a start for want of room counts
+  /// as smaller than its report says, unless the report changes before.
+  Milliseconds CapacityLimitTime_{500};
   /// Consecutive failures, of different jobs, after which a worker is ejected.
   uint32_t EjectAfter_ = 3;
   /// Time for which an ejected worker gets no work before it is tried again.
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -53,6 +53,23 @@
                      const PollAnswered &Listed);
 /// @}
 
+/// The capacity at which a worker is used; see HolderCapacity.cpp.
+/// @{
+/// The reported capacity, or less while a limit is in force.
+Room usableCapacity(const WorkerHold &Hold);
+/// The worker as it is reported to other instances.
+HeldWorker describeWorker(const WorkerHold &Hold, Milliseconds Now);
+/// Logs the usable capacity if it differs from \p Before.
+void logCapacityChange(FleetStepContext &Ctx, const WorkerHold &Hold,
+                       const Room &Before, std::string_view Why);
+/// Limits the capacity to less than the worker's runs take, including one whose
+/// start it has just rejected for want of room: it has shrunk, and its report
+/// is older than that.
+void limitCapacity(FleetStepContext &Ctx, WorkerHold &Hold);
+/// Ends the limit when its time is over.
+void expireCapacityLimit(FleetStepContext &Ctx, WorkerHold &Hold);
+/// @}
+
 /// Claiming, polling and losing a worker; see Claims.cpp.
 /// @{
 /// Handles an answer which shows that another holder has claimed the worker, or
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -78,9 +78,7 @@
 void announceWorker(FleetStepContext &Ctx, WorkerHold &Hold) {
   Hold.WasAnnouncedOpen_ = isOpen(Hold, Ctx.Now_);
   Hold.AnnouncedSlowness_ = Hold.Slowness_;
-  const WorkersHeld Message{{{.Report_ = Hold.Report_,
-                              .IsOpen_ = Hold.WasAnnouncedOpen_,
-                              .Slowness_ = Hold.Slowness_}},
+  const WorkersHeld Message{{describeWorker(Hold, Ctx.Now_)},
                             Ctx.State_.HighestToken_};
   sendToCoordinators(Ctx, Message);
 }
@@ -249,7 +247,7 @@
                 "the worker takes no new runs");
     return;
   }
-  if (!fits(Order.Needs_, Hold.Report_.Capacity_ - Hold.Used_)) {
+  if (!fits(Order.Needs_, usableCapacity(Hold) - Hold.Used_)) {
     refuseStart(Ctx, Origin, Order.Job_, Wanted, "no room");
     return;
   }
--- a/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
+++ b/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
@@ -133,6 +133,8 @@
          {"result", nameOf(Answer.Result_)},
          {"after_ms", toString(Ctx.Now_ - Run->OrderedAt_)}});
   }
+  if (Answer.Result_ == OrderResult::NoRoom)
+    limitCapacity(Ctx, *Hold);
   applyStart(Ctx, *Hold, Answer.Run_, *Run, Answer.Result_);
 }
 
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -61,6 +61,10 @@
   uint64_t AckedThrough_ = 0; ///< Number of the last processed end of a run.
   std::map<RunId, HeldRun> Runs_;
   Room Used_; ///< Taken by these runs.
+  /// Upper bound of the capacity, learnt from a rejected start; not set if the
+  /// report holds. \sa HolderOptions::CapacityLimitTime_
+  std::optional<Room> CapacityLimit_;
+  Milliseconds CapacityLimitUntil_;
   uint64_t NextPoll_ = 1;
   bool IsPolling_ = false;
   Milliseconds NextPollAt_;
--- a/coordination/test/Fleet/ShrinkingWorkerTests.cpp
+++ b/coordination/test/Fleet/ShrinkingWorkerTests.cpp
@@ -61,3 +61,66 @@
     return submit(8);
   }());
 }
+
+TEST_GROUP_BASE(AWorkerThatRejectsForWantOfRoom,
+                TEST_GROUP_CppUTestGroupAWorkerThatShrinks){
+    /// Starts job 7, and has the start of job 8 rejected.
+    FleetActions rejectSecond(){submit(7);
+Instance_.answerStart(OrderResult::Accepted);
+expectCount<StartRun>(1, Instance_.handle(patientJob(8)));
+return Instance_.answerStart(OrderResult::NoRoom, {8, 0, 1});
+}
+}
+;
+
+TEST(AWorkerThatRejectsForWantOfRoom, IsNotAskedAgainForEachBackOff) {
+  FleetActions All = rejectSecond();
+  for (const FleetAction &One : Instance_.advance(440))
+    All.push_back(One);
+  expectCount<StartRun>(0, All);
+}
+
+TEST(AWorkerThatRejectsForWantOfRoom, StillRunsWhatItRanBefore) {
+  rejectSecond();
+  Instance_.advance(40);
+  expectCount<StartRun>(1,
+                        Instance_.listRuns({}, {{1, {7, 0, 1}, RunEnd::Done}}));
+}
+
+TEST(AWorkerThatRejectsForWantOfRoom, IsStillAskedForLess) {
+  rejectSecond();
+  JobSubmission Smaller = patientJob(9);
+  Smaller.Needs_.MilliCores_ = 20'000;
+  Instance_.advance(40);
+  expectCount<StartRun>(1, Instance_.handle(Smaller));
+}
+
+TEST(AWorkerThatRejectsForWantOfRoom, IsAskedAgainAfterABoundedTime) {
+  rejectSecond();
+  expectCount<StartRun>(1, Instance_.advance(600));
+}
+
+TEST(AWorkerThatRejectsForWantOfRoom, HasItsNextReportBelieved) {
+  rejectSecond();
+  expectCount<StartRun>(0, Instance_.advance(100));
+  expectCount<StartRun>(1, list(60'000));
+}
+
+// Its row is written again and again without a change.
+TEST(AWorkerThatRejectsForWantOfRoom, DoesNotHaveAnOldReportBelieved) {
+  rejectSecond();
+  FleetActions All = list(64'000);
+  for (const FleetAction &One : Instance_.advance(100))
+    All.push_back(One);
+  expectCount<StartRun>(0, All);
+}
+
+TEST(AWorkerThatRejectsForWantOfRoom, MayHaveRoomAfterARestart) {
+  rejectSecond();
+  Instance_.listRuns({}, {}, 2);
+  Instance_.advance(40);
+  FleetActions All = Instance_.listRuns({}, {}, 2);
+  for (const FleetAction &One : Instance_.advance(100))
+    All.push_back(One);
+  CHECK(!actionsOf<StartRun>(All).empty());
+}
