Refuse jobs that are larger than all workers at once

What callers saw: a job for which the workers had become too small waited until too little of its caller's time was left, and was refused then.

Cause: a waiting job was refused only if it was late while others could be in time, if the work ahead took too long, or when its time was over. None of these looks at whether any worker could run it.

Change: at each tick a waiting job without started tasks is refused if workers of its service and label are listed and its needs exceed all of them. Drained workers do not count; closed and full ones do. A worker counts by the greater of its listed capacity and its holder's report, so that neither an old list nor a rejected start leads to a refusal. Retry-After is at least 2.1 s, the time within which a changed capacity is known.

--- a/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
@@ -115,14 +115,15 @@
 }
 
 static void refuseJob(FleetStepContext &Ctx, const PlacerJobKey &Key,
-                      std::string_view Why) {
+                      std::string_view Why, Milliseconds MinRetryAfter = {}) {
   const RetryAfterOptions &Retry = Ctx.State_.Options_.Placer_.Retry_;
   PlacerState &Placer = Ctx.State_.Placing_;
   PlacerJob &Job = Placer.Jobs_.at(Key);
   const Milliseconds Backlog = backlogTime(
       Placer.WaitingWork_, Placer.Capacity_, isSettling(Ctx), Retry);
   const Milliseconds RetryAfter =
-      retryAfter(Backlog, uniformUnit(Ctx.State_.Generator_), Retry);
+      std::max(MinRetryAfter,
+               retryAfter(Backlog, uniformUnit(Ctx.State_.Generator_), Retry));
   log(Ctx, "place_refused", Job.Request_.Id_,
       {{"why", std::string(Why)},
        {"waited_ms", toString(Ctx.Now_ - Job.ArrivedAt_)},
@@ -215,6 +216,17 @@
   return true;
 }
 
+// Does not refuse a job that has started: its work would be lost, and a worker
+// may grow in time.
+static bool refuseIfTooLarge(FleetStepContext &Ctx, const PlacerJobKey &Key) {
+  const PlacerJob &Job = Ctx.State_.Placing_.Jobs_.at(Key);
+  if (isStarted(Job) || !exceedsAllWorkers(Ctx.State_, Job))
+    return false;
+  refuseJob(Ctx, Key, "no worker is large enough",
+            Ctx.State_.Options_.Placer_.Retry_.TooLargeRetryAfter_);
+  return true;
+}
+
 // Tries to place the waiting tasks of a job, unless the pass has shown that
 // this is not possible; returns whether tasks still wait.
 static bool tryJob(FleetStepContext &Ctx, const PlacerJobKey &Key,
@@ -335,7 +347,8 @@
       Waiting.push_back(Key);
   }
   for (const PlacerJobKey &Key : Waiting) {
-    if (refuseIfOutOfTime(Ctx, Key) || !refusesLateJobs(Ctx))
+    if (refuseIfOutOfTime(Ctx, Key) || refuseIfTooLarge(Ctx, Key) ||
+        !refusesLateJobs(Ctx))
       continue;
     const PlacerJob &Job = Placer.Jobs_.at(Key);
     if (Job.IsLate_ && !isStarted(Job))
--- a/coordination/marjorambend/src/Fleet/PlacerStep.h
+++ b/coordination/marjorambend/src/Fleet/PlacerStep.h
@@ -20,6 +20,10 @@
 /// nothing is reserved for it.
 void removeIfDone(PlacerState &Placer, const PlacerJobKey &Key);
 
+/// \brief Whether workers that could run the job are listed, and all of them
+/// are too small, even when idle.
+bool exceedsAllWorkers(const FleetInstance &State, const PlacerJob &Job);
+
 /// \brief Whether a task of the job runs or has run.
 inline bool isStarted(const PlacerJob &Job) {
   return Job.Request_.IsStarted_ || !Job.Reservations_.empty();
--- a/coordination/marjorambend/src/Scheduling/Overload.h
+++ b/coordination/marjorambend/src/Scheduling/Overload.h
@@ -78,6 +78,9 @@
   /// Retry time while no worker is open or expected; a worker opens about 50 ms
   /// after it is claimed.
   Milliseconds NoWorkersRetryAfter_{800};
+  /// Least retry time of a job that is too large for all workers; a worker's
+  /// report is renewed every 1.5 s and read 0.6 s later.
+  Milliseconds TooLargeRetryAfter_{2'100};
 };
 
 /// \brief Time until the capacity, as far as it is open or about to open, has
--- a/coordination/test/Fleet/ShrinkingWorkerTests.cpp
+++ b/coordination/test/Fleet/ShrinkingWorkerTests.cpp
@@ -124,3 +124,62 @@
     All.push_back(One);
   CHECK(!actionsOf<StartRun>(All).empty());
 }
+
+TEST_GROUP_BASE(AJobThatFitsNoWorker,
+                TEST_GROUP_CppUTestGroupAWorkerThatShrinks){
+    static bool isRefused(const FleetActions &All){
+        const auto Answers = actionsOf<AnswerJob>(All);
+return Answers.size() == 1 && Answers[0].Outcome_ == JobOutcome::NotRun;
+}
+}
+;
+
+TEST(AJobThatFitsNoWorker, IsRefusedAtTheNextTick) {
+  list(20'000);
+  Instance_.handle(patientJob(7));
+  const FleetActions Then = Instance_.advance(20);
+  CHECK(isRefused(Then));
+  CHECK(actionsOf<AnswerJob>(Then)[0].RetryAfter_ >= Milliseconds{2'000});
+}
+
+TEST(AJobThatFitsNoWorker, IsRefusedOnceTheWorkerShrinks) {
+  submit(7);
+  Instance_.answerStart(OrderResult::Accepted);
+  submit(8);
+  Instance_.answerStart(OrderResult::Accepted, {8, 0, 1});
+  Instance_.handle(patientJob(9));
+  expectCount<AnswerJob>(0, Instance_.advance(20));
+  list(20'000);
+  CHECK(isRefused(Instance_.advance(20)));
+}
+
+TEST(AJobThatFitsNoWorker, WaitsIfAWorkerIsOnlyFull) {
+  submit(7);
+  submit(8);
+  Instance_.handle(patientJob(9));
+  expectCount<AnswerJob>(0, Instance_.advance(100));
+}
+
+TEST(AJobThatFitsNoWorker, WaitsIfAWorkerIsOnlyClosed) {
+  WorkerReport Large = InstanceFixture::worker("x");
+  WorkerReport Small = InstanceFixture::worker();
+  Small.Capacity_.MilliCores_ = 20'000;
+  Instance_.handle(WorkersRead{{Large, Small}});
+  Instance_.handle(patientJob(9));
+  expectCount<AnswerJob>(0, Instance_.advance(100));
+}
+
+TEST(AJobThatFitsNoWorker, IsNotRefusedForARejectedStart) {
+  Instance_.handle(patientJob(7));
+  Instance_.answerStart(OrderResult::NoRoom, {7, 0, 1});
+  expectCount<AnswerJob>(0, Instance_.advance(500));
+}
+
+// Its work would be lost; the worker may grow again in time.
+TEST(AJobThatFitsNoWorker, WaitsOnceATaskHasStarted) {
+  JobSubmission Job = patientJob(7);
+  Job.Tasks_ = 3;
+  expectCount<StartRun>(2, Instance_.handle(Job));
+  list(20'000);
+  expectCount<AnswerJob>(0, Instance_.advance(100));
+}
