Forecast waiting jobs with the capacity that shrunk workers still have

What callers saw: jobs that could only be late waited instead of being refused at the next tick.

Cause: the forecast took all that is reserved on open workers as the rate at which the queue is served. A worker that has shrunk runs more than its capacity until these runs end; what exceeds it does not serve the queue.

Change: a worker counts with its capacity at most.

Result: CountsInTheForecastWithTheNewCapacity failed before: none of three waiting jobs was refused, now the third is.

--- a/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
@@ -88,13 +88,15 @@
                     Ctx.State_.Options_.Placer_.Overload_, Ctx.Now_);
 }
 
-// What is reserved while jobs wait is what the fleet can do at present. Run
-// times are longer than their estimates by the median slowness.
+// What is reserved while jobs wait is what the fleet can do at present, except
+// for what a worker that has shrunk still runs. Run times are longer than their
+// estimates by the median slowness.
 static double milliCoresAtWork(const PlacerState &Placer) {
   int64_t Reserved = 0;
   for (const auto &[Id, Worker] : Placer.Workers_) {
     if (Worker.Held_.IsOpen_)
-      Reserved += Worker.Reserved_.MilliCores_;
+      Reserved += std::min(Worker.Reserved_.MilliCores_,
+                           Worker.Held_.Report_.Capacity_.MilliCores_);
   }
   return static_cast<double>(Reserved) / Placer.MedianSlowness_;
 }
--- a/coordination/test/Fleet/ShrinkingWorkerTests.cpp
+++ b/coordination/test/Fleet/ShrinkingWorkerTests.cpp
@@ -183,3 +183,17 @@
   list(20'000);
   expectCount<AnswerJob>(0, Instance_.advance(100));
 }
+
+// What it still runs beyond its capacity does not serve the queue.
+TEST(AWorkerThatShrinks, CountsInTheForecastWithTheNewCapacity) {
+  submit(7);
+  submit(8);
+  list(30'000);
+  Instance_.advance(120); // The fleet's capacity is computed at intervals.
+  for (uint64_t Id = 9; Id < 12; ++Id) {
+    JobSubmission Job = Instance_.job(Id, Id);
+    Job.Estimate_ = {400};
+    Instance_.handle(Job);
+  }
+  expectCount<AnswerJob>(1, Instance_.advance(20));
+}
