Ledger of crashed workers and the tasks under them (interface)

Cause: nothing counts the crashes under a task; what ends its restarts is the job's time. Change: CrashLedger with its messages, events and options; not used yet, the codec and the store follow. Result: the ledger compiles; no measurement yet.

--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.cpp
@@ -0,0 +1,136 @@
+#include "marjorambend/src/Fleet/CrashLedger.h"
+
+#include <algorithm>
+
+namespace marjorambend {
+namespace internal {
+
+using CrashIterator = std::map<WorkerIncarnation, CrashLedger::Entry>::iterator;
+
+static void eraseCrash(CrashLedger &Ledger, CrashIterator Crash) {
+  for (const TaskId &Task : Crash->second.Tasks_) {
+    const auto Known = Ledger.ByTask_.find(Task);
+    Known->second.erase(Crash->first);
+    if (Known->second.empty())
+      Ledger.ByTask_.erase(Known);
+  }
+  Ledger.ByAge_.erase({Crash->second.NoticedAt_, Crash->first});
+  Ledger.Crashes_.erase(Crash);
+}
+
+static void eraseOldest(CrashLedger &Ledger) {
+  eraseCrash(Ledger, Ledger.Crashes_.find(Ledger.ByAge_.begin()->second));
+}
+
+static bool isWithin(Milliseconds A, Milliseconds B, Milliseconds Window) {
+  return std::max(A, B) - std::min(A, B) <= Window;
+}
+
+// Workers that have crashed in the rack and at the time of a crash.
+static uint32_t countRackCrashes(const CrashLedger &Ledger,
+                                 const CrashLedger::Entry &Crash,
+                                 const CrashOptions &Options) {
+  std::set<std::string_view> Workers;
+  const auto First = Ledger.ByAge_.lower_bound(
+      {Crash.NoticedAt_ - Options.RackWindow_, WorkerIncarnation{}});
+  for (auto It = First; It != Ledger.ByAge_.end(); ++It) {
+    const auto &[NoticedAt, Worker] = *It;
+    if (!isWithin(NoticedAt, Crash.NoticedAt_, Options.RackWindow_))
+      break;
+    if (Ledger.Crashes_.at(Worker).Rack_ == Crash.Rack_)
+      Workers.insert(Worker.Worker_);
+  }
+  return static_cast<uint32_t>(Workers.size());
+}
+
+static bool hasRackFailed(const CrashLedger &Ledger,
+                          const CrashLedger::Entry &Crash,
+                          const CrashOptions &Options) {
+  if (Crash.Rack_.empty())
+    return false;
+  const uint32_t Count = countRackCrashes(Ledger, Crash, Options);
+  return Count >= Options.MinRackCrashes_ &&
+         Count >= Options.RackShare_ * Crash.RackSize_;
+}
+
+// Crashes under a task, without those of a rack that has failed.
+static uint32_t countCrashes(const CrashLedger &Ledger, const TaskId &Task,
+                             const CrashOptions &Options) {
+  const auto Found = Ledger.ByTask_.find(Task);
+  if (Found == Ledger.ByTask_.end())
+    return 0;
+  return static_cast<uint32_t>(std::count_if(
+      Found->second.begin(), Found->second.end(),
+      [&](const WorkerIncarnation &Worker) {
+        return !hasRackFailed(Ledger, Ledger.Crashes_.at(Worker), Options);
+      }));
+}
+
+} // namespace internal
+
+bool recordCrash(CrashLedger &Ledger, const WorkerCrash &Crash,
+                 const CrashOptions &Options, Milliseconds Now) {
+  if (Crash.Age_ > Options.Retention_)
+    return false;
+  const auto [Found, IsNew] = Ledger.Crashes_.try_emplace(Crash.Worker_);
+  CrashLedger::Entry &Entry = Found->second;
+  if (IsNew) {
+    Entry.Rack_ = Crash.Rack_;
+    Entry.RackSize_ = Crash.RackSize_;
+    Entry.NoticedAt_ = Now - Crash.Age_;
+    Ledger.ByAge_.insert({Entry.NoticedAt_, Crash.Worker_});
+  }
+  bool HasChanged = IsNew;
+  for (const TaskId &Task : Crash.Tasks_) {
+    if (!Entry.Tasks_.insert(Task).second)
+      continue;
+    Ledger.ByTask_[Task].insert(Crash.Worker_);
+    HasChanged = true;
+  }
+  while (Ledger.Crashes_.size() > Options.MaxKept_)
+    internal::eraseOldest(Ledger);
+  return HasChanged;
+}
+
+bool withdrawCrash(CrashLedger &Ledger, const WorkerIncarnation &Worker) {
+  const auto Found = Ledger.Crashes_.find(Worker);
+  if (Found == Ledger.Crashes_.end())
+    return false;
+  internal::eraseCrash(Ledger, Found);
+  return true;
+}
+
+void expireCrashes(CrashLedger &Ledger, const CrashOptions &Options,
+                   Milliseconds Now) {
+  while (!Ledger.ByAge_.empty() &&
+         Now - Ledger.ByAge_.begin()->first > Options.Retention_)
+    internal::eraseOldest(Ledger);
+}
+
+std::vector<WorkerCrash> listCrashes(const CrashLedger &Ledger,
+                                     Milliseconds Now) {
+  std::vector<WorkerCrash> Crashes;
+  for (const auto &[Worker, Entry] : Ledger.Crashes_)
+    Crashes.push_back({.Worker_ = Worker,
+                       .Tasks_ = {Entry.Tasks_.begin(), Entry.Tasks_.end()},
+                       .Rack_ = Entry.Rack_,
+                       .RackSize_ = Entry.RackSize_,
+                       .Age_ = Now - Entry.NoticedAt_});
+  return Crashes;
+}
+
+bool isSuspect(const CrashLedger &Ledger, const TaskId &Task,
+               const CrashOptions &Options) {
+  return internal::countCrashes(Ledger, Task, Options) > 0;
+}
+
+bool exceedsCrashBudget(const CrashLedger &Ledger, const TaskId &Task,
+                        const CrashOptions &Options) {
+  const auto Found = Ledger.ByTask_.find(Task);
+  if (Found == Ledger.ByTask_.end())
+    return false;
+  return Found->second.size() >= Options.MaxCrashesOfAnyCause_ ||
+         internal::countCrashes(Ledger, Task, Options) >= Options.MaxCrashes_;
+}
+
+} // namespace marjorambend
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.h
@@ -0,0 +1,126 @@
+#ifndef MARJORAMBEND_FLEET_CRASHLEDGER_H
+#define MARJORAMBEND_FLEET_CRASHLEDGER_H
+
+#include "marjorambend/src/Support/Milliseconds.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace marjorambend {
+
+/// \brief Identifies a task across its attempts and the resubmissions of its
+/// job.
+struct TaskId {
+  uint64_t Job_ = 0; ///< The job identity chosen by the caller.
+  uint32_t Task_ = 0;
+
+  friend bool operator==(const TaskId &A, const TaskId &B) {
+    return std::tie(A.Job_, A.Task_) == std::tie(B.Job_, B.Task_);
+  }
+  friend auto operator<=>(const TaskId &A, const TaskId &B) {
+    return std::tie(A.Job_, A.Task_) <=> std::tie(B.Job_, B.Task_);
+  }
+};
+
+/// \brief Identifies one incarnation of a worker.
+struct WorkerIncarnation {
+  std::string Worker_;
+  int64_t Incarnation_ = 0; ///< \sa WorkerReport::Incarnation_
+
+  friend bool operator==(const WorkerIncarnation &A,
+                         const WorkerIncarnation &B) {
+    return std::tie(A.Worker_, A.Incarnation_) ==
+           std::tie(B.Worker_, B.Incarnation_);
+  }
+  friend auto operator<=>(const WorkerIncarnation &A,
+                          const WorkerIncarnation &B) {
+    return std::tie(A.Worker_, A.Incarnation_) <=>
+           std::tie(B.Worker_, B.Incarnation_);
+  }
+};
+
+/// \brief A worker that has crashed, or is silent as if it had.
+struct WorkerCrash {
+  WorkerIncarnation Worker_;
+  std::vector<TaskId> Tasks_; ///< May have been running; none if it was idle.
+  std::string Rack_;          ///< Empty if unknown.
+  uint32_t RackSize_ = 0;     ///< Listed workers of the rack.
+  Milliseconds Age_;          ///< Time since it was noticed.
+};
+
+/// \brief Options for tasks under which workers crash.
+struct CrashOptions {
+  /// Crashes under a task after which it is given up, without those of a rack
+  /// that has failed.
+  uint32_t MaxCrashes_ = 2;
+  /// The same, with those.
+  uint32_t MaxCrashesOfAnyCause_ = 3;
+  /// Crashes in one rack within this time may have a common cause.
+  Milliseconds RackWindow_{1'000};
+  /// A rack has failed if this share of its workers crashes, and at least
+  /// MinRackCrashes_ of them.
+  double RackShare_ = 0.75;
+  uint32_t MinRackCrashes_ = 3;
+  /// Time for which crashes are kept; longer than any caller resubmits a job.
+  Milliseconds Retention_{120'000};
+  /// Most crashes that are kept; the oldest are dropped first.
+  std::size_t MaxKept_ = 4'096;
+};
+
+/// \brief Crashed workers and the tasks that ran on them.
+///
+/// Every instance keeps one. Entries are identified by the incarnation of the
+/// worker, so that ledgers can be merged in any order without counting a crash
+/// twice.
+struct CrashLedger {
+  struct Entry {
+    std::set<TaskId> Tasks_;
+    std::string Rack_;
+    uint32_t RackSize_ = 0;
+    Milliseconds NoticedAt_;
+  };
+  std::map<WorkerIncarnation, Entry> Crashes_;
+  std::map<TaskId, std::set<WorkerIncarnation>> ByTask_;
+  std::set<std::pair<Milliseconds, WorkerIncarnation>> ByAge_;
+};
+
+/// \brief Adds a crash, or the tasks that are not recorded with it yet.
+///
+/// \returns whether the ledger has changed.
+bool recordCrash(CrashLedger &Ledger, const WorkerCrash &Crash,
+                 const CrashOptions &Options, Milliseconds Now);
+
+/// \brief Removes a crash: the worker was only silent.
+///
+/// \returns whether the ledger had it.
+bool withdrawCrash(CrashLedger &Ledger, const WorkerIncarnation &Worker);
+
+/// \brief Removes crashes that are older than CrashOptions::Retention_.
+void expireCrashes(CrashLedger &Ledger, const CrashOptions &Options,
+                   Milliseconds Now);
+
+/// \brief All crashes, to be sent to another instance.
+std::vector<WorkerCrash> listCrashes(const CrashLedger &Ledger,
+                                     Milliseconds Now);
+
+/// \brief Whether a worker has crashed under the task, other than with its
+/// whole rack. Until the task is done it should not share a worker with others.
+bool isSuspect(const CrashLedger &Ledger, const TaskId &Task,
+               const CrashOptions &Options);
+
+/// \brief Whether the task has crashed so many workers that it must not be
+/// started again.
+///
+/// Crashes of a rack that has failed are left out, up to
+/// CrashOptions::MaxCrashesOfAnyCause_.
+bool exceedsCrashBudget(const CrashLedger &Ledger, const TaskId &Task,
+                        const CrashOptions &Options);
+
+} // namespace marjorambend
+
+#endif // MARJORAMBEND_FLEET_CRASHLEDGER_H
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -114,6 +114,7 @@
   /// when a session ends.
   std::map<std::string, Milliseconds> DataCentreHeardAt_;
   Milliseconds NextHoldReview_;
+  CrashLedger Crashes_; ///< Of the workers of the whole fleet.
 
   PlacerState Placing_;
 };
--- a/coordination/marjorambend/src/Fleet/FleetActions.h
+++ b/coordination/marjorambend/src/Fleet/FleetActions.h
@@ -87,6 +87,12 @@
   std::set<LinkAddress> Addresses_;
 };
 
+/// \brief Keep a crash in the platform's store, so that it outlasts all
+/// instances.
+struct StoreCrash {
+  WorkerCrash Crash_;
+};
+
 /// \brief One field of a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
@@ -101,7 +107,7 @@
 /// \brief All actions that an instance of the fleet can request.
 using FleetAction =
     std::variant<AnswerJob, StartRun, StopRun, PollWorker, SendMessage,
-                 DecodeConfigText, LinkInstances, LogDecision>;
+                 DecodeConfigText, LinkInstances, StoreCrash, LogDecision>;
 
 /// \brief Actions in the order in which they are to be done.
 using FleetActions = std::vector<FleetAction>;
--- a/coordination/marjorambend/src/Fleet/FleetEvents.h
+++ b/coordination/marjorambend/src/Fleet/FleetEvents.h
@@ -39,6 +39,11 @@
   std::vector<InstanceInfo> Instances_;
 };
 
+/// \brief Crashes of workers that the store keeps were read.
+struct CrashesRead {
+  std::vector<WorkerCrash> Crashes_;
+};
+
 /// \brief The caller of a job has closed its connection.
 struct JobAbandoned {
   uint64_t Token_ = 0;
@@ -132,10 +137,10 @@
 /// \brief All events that an instance of the fleet handles.
 using FleetEvent =
     std::variant<FleetTick, ConfigRead, ConfigConfirmed, WorkersRead,
-                 WorkersReadFailed, InstancesRead, JobSubmission, JobAbandoned,
-                 JobCancel, InstanceUp, InstanceDown, MessageReceived,
-                 StartAnswered, StopAnswered, PollAnswered, FleetStop,
-                 FleetStopForced>;
+                 WorkersReadFailed, InstancesRead, CrashesRead, JobSubmission,
+                 JobAbandoned, JobCancel, InstanceUp, InstanceDown,
+                 MessageReceived, StartAnswered, StopAnswered, PollAnswered,
+                 FleetStop, FleetStopForced>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_FLEET_FLEETMESSAGES_H
 #define MARJORAMBEND_FLEET_FLEETMESSAGES_H
 
+#include "marjorambend/src/Fleet/CrashLedger.h"
 #include "marjorambend/src/Fleet/FleetTypes.h"
 
 #include <string>
@@ -58,6 +59,7 @@
   /// Holders that the origin cannot reach.
   std::vector<Incarnation> Avoid_;
   bool IsStarted_ = false; ///< A task of the job runs or may have run.
+  bool IsSuspect_ = false; ///< The tasks may crash workers; \sa isSuspect
 };
 
 /// \brief Withdraws the waiting tasks of a job.
@@ -99,6 +101,7 @@
   uint32_t Task_ = 0;
   std::string Worker_;
   Room Needs_;
+  bool IsSuspect_ = false; ///< It should have the worker for itself.
 };
 
 /// \brief A run to start on a worker.
@@ -159,12 +162,19 @@
   std::string Text_;
 };
 
+/// \brief Workers that have crashed, or were only silent.
+struct CrashNews {
+  std::vector<WorkerCrash> Crashes_;
+  std::vector<WorkerIncarnation> Withdrawn_;
+};
+
 /// \brief Any message between instances.
 using FleetMessage =
     std::variant<InstanceStatus, WorkersHeld, WorkersDropped, PlaceRequest,
                  PlaceWithdraw, PlaceRelease, PlaceAdopt, Placed, PlaceRefused,
                  StartOrder, StopOrder, RunEnded, ListNews, ConfigNews,
-                 ConfigFreshness, WorkerPaces, RosterNews, RosterQuery>;
+                 ConfigFreshness, WorkerPaces, RosterNews, RosterQuery,
+                 CrashNews>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_FLEET_FLEETOPTIONS_H
 #define MARJORAMBEND_FLEET_FLEETOPTIONS_H
 
+#include "marjorambend/src/Fleet/CrashLedger.h"
 #include "marjorambend/src/Scheduling/Overload.h"
 #include "marjorambend/src/Support/Milliseconds.h"
 
@@ -164,6 +165,7 @@
   HolderOptions Holder_;
   PlacerOptions Placer_;
   RosterOptions Roster_;
+  CrashOptions Crashes_;
 };
 
 } // namespace marjorambend
