Give up tasks that crash their workers

Cause: a task may crash each worker that starts it. Nothing counted crashes by task: only the job's time ended the restarts, and a resubmission began anew. Change: holders record a crashed or silent worker's incarnation with the tasks that may have run there; all instances keep these crashes and merge them by incarnation. A task under which two workers have crashed is given up (answer: failed), at once for a resubmission. Until then it has a worker for itself, one suspect task of a job at a time. Crashes of a rack that has failed as a whole do not count, up to three; a worker that was only silent withdraws its crash. Reservations of the placer keep their own amount.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -166,11 +166,13 @@
   Hold.AckedThrough_ = 0;
   Hold.Slowness_ = 1.0;
   Hold.ConsecutiveFailures_ = 0;
+  Hold.UnknownRuns_.clear();
   announceIfChanged(Ctx, Hold);
 }
 
 // The worker has restarted: all runs of the held incarnation are lost.
 static void endIncarnation(FleetStepContext &Ctx, WorkerHold &Hold) {
+  noteCrash(Ctx, Hold);
   loseAllRuns(Ctx, Hold);
   resetForNewIncarnation(Ctx, Hold);
   Hold.NextPollAt_ = Ctx.Now_ + Ctx.State_.Options_.Holder_.RetryDelay_;
@@ -206,6 +208,7 @@
       {{"worker", Hold.Report_.Id_},
        {"looks", std::to_string(Hold.FailedPolls_)},
        {"runs", std::to_string(Hold.Runs_.size())}});
+  noteCrash(Ctx, Hold);
   announceIfChanged(Ctx, Hold);
 }
 
@@ -229,10 +232,14 @@
       Listed.Incarnation_ != Hold.Report_.Incarnation_) {
     // Runs that were started before the restart was noticed may be part of the
     // new incarnation; the lists show which ones.
-    if (Hold.Report_.Incarnation_ != 0)
+    if (Hold.Report_.Incarnation_ != 0) {
+      noteCrash(Ctx, Hold, Listed.Running_);
       resetForNewIncarnation(Ctx, Hold);
+    }
     Hold.Report_.Incarnation_ = Listed.Incarnation_;
   }
+  if (Listed.Incarnation_ != 0)
+    withdrawCrashIfAlive(Ctx, Hold);
   if (Hold.Phase_ == HoldPhase::Suspect)
     Hold.Phase_ = HoldPhase::Open;
   applyPollAnswer(Ctx, Hold, Listed);
--- a/coordination/marjorambend/src/Fleet/CrashLedger.cpp
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.cpp
@@ -107,15 +107,17 @@
     internal::eraseOldest(Ledger);
 }
 
-std::vector<WorkerCrash> listCrashes(const CrashLedger &Ledger,
-                                     Milliseconds Now) {
+std::vector<WorkerCrash> listOwnCrashes(const CrashLedger &Ledger,
+                                        Milliseconds Now) {
   std::vector<WorkerCrash> Crashes;
-  for (const auto &[Worker, Entry] : Ledger.Crashes_)
-    Crashes.push_back({.Worker_ = Worker,
-                       .Tasks_ = {Entry.Tasks_.begin(), Entry.Tasks_.end()},
-                       .Rack_ = Entry.Rack_,
-                       .RackSize_ = Entry.RackSize_,
-                       .Age_ = Now - Entry.NoticedAt_});
+  for (const auto &[Worker, Entry] : Ledger.Crashes_) {
+    if (Entry.IsNoticedHere_)
+      Crashes.push_back({.Worker_ = Worker,
+                         .Tasks_ = {Entry.Tasks_.begin(), Entry.Tasks_.end()},
+                         .Rack_ = Entry.Rack_,
+                         .RackSize_ = Entry.RackSize_,
+                         .Age_ = Now - Entry.NoticedAt_});
+  }
   return Crashes;
 }
 
--- a/coordination/marjorambend/src/Fleet/CrashLedger.h
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.h
@@ -83,6 +83,7 @@
     std::string Rack_;
     uint32_t RackSize_ = 0;
     Milliseconds NoticedAt_;
+    bool IsNoticedHere_ = false; ///< This instance held the worker.
   };
   std::map<WorkerIncarnation, Entry> Crashes_;
   std::map<TaskId, std::set<WorkerIncarnation>> ByTask_;
@@ -104,9 +105,9 @@
 void expireCrashes(CrashLedger &Ledger, const CrashOptions &Options,
                    Milliseconds Now);
 
-/// \brief All crashes, to be sent to another instance.
-std::vector<WorkerCrash> listCrashes(const CrashLedger &Ledger,
-                                     Milliseconds Now);
+/// \brief The crashes that were noticed here, to be sent to another instance.
+std::vector<WorkerCrash> listOwnCrashes(const CrashLedger &Ledger,
+                                        Milliseconds Now);
 
 /// \brief Whether a worker has crashed under the task, other than with its
 /// whole rack. Until the task is done it should not share a worker with others.
--- /dev/null
+++ b/coordination/marjorambend/src/Fleet/Crashes.cpp
@@ -0,0 +1,113 @@
+/// \file
+/// \brief Records crashes of workers, and tells the other instances.
+
+#include "marjorambend/src/Fleet/HoldStep.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace marjorambend::internal {
+
+/// \brief Workers that fail together, such as those of one rack.
+struct FailureDomain {
+  std::string Label_;
+  uint32_t Workers_ = 0;
+};
+
+// The most specific label of a worker names its rack: the one that the fewest
+// workers have, but at least one other.
+static FailureDomain failureDomainOf(const FleetInstance &State,
+                                     const WorkerReport &Report) {
+  FailureDomain Smallest;
+  for (const std::string &Label : Report.Labels_) {
+    const auto Count = static_cast<uint32_t>(std::count_if(
+        State.ListedWorkers_.begin(), State.ListedWorkers_.end(),
+        [&Label](const auto &Entry) {
+          const auto &Labels = Entry.second.Labels_;
+          return std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
+        }));
+    const bool IsSmaller = Smallest.Workers_ == 0 || Count < Smallest.Workers_;
+    if (Count > 1 && IsSmaller)
+      Smallest = {Label, Count};
+  }
+  return Smallest;
+}
+
+static void sendToMembers(FleetStepContext &Ctx, const FleetMessage &Message) {
+  for (const auto &[Run, Other] : Ctx.State_.Members_)
+    sendMessage(Ctx, Run, Message);
+}
+
+static WorkerCrash crashOf(const FleetStepContext &Ctx, const WorkerHold &Hold,
+                           std::vector<TaskId> Tasks) {
+  const FailureDomain Domain = failureDomainOf(Ctx.State_, Hold.Report_);
+  return {.Worker_ = {Hold.Report_.Id_, Hold.Report_.Incarnation_},
+          .Tasks_ = std::move(Tasks),
+          .Rack_ = Domain.Label_,
+          .RackSize_ = Domain.Workers_};
+}
+
+void noteCrash(FleetStepContext &Ctx, const WorkerHold &Hold,
+               const std::vector<ListedRun> &Survivors) {
+  // A worker that drains ends all runs when it leaves.
+  if (Hold.Report_.IsDraining_)
+    return;
+  std::vector<TaskId> Tasks;
+  for (const auto &[Id, Run] : Hold.Runs_) {
+    const bool HasSurvived = std::any_of(
+        Survivors.begin(), Survivors.end(),
+        [&Id = Id](const ListedRun &One) { return One.Run_ == Id; });
+    if (!HasSurvived)
+      Tasks.push_back({Id.Job_, Id.Task_});
+  }
+  for (const RunId &Id : Hold.UnknownRuns_)
+    Tasks.push_back({Id.Job_, Id.Task_});
+  CrashLedger &Ledger = Ctx.State_.Crashes_;
+  const WorkerCrash Crash = crashOf(Ctx, Hold, std::move(Tasks));
+  if (!recordCrash(Ledger, Crash, Ctx.State_.Options_.Crashes_, Ctx.Now_))
+    return;
+  Ledger.Crashes_.at(Crash.Worker_).IsNoticedHere_ = true;
+  increment(Ctx.State_.Counters_, Counter::WorkerCrashes);
+  log(Ctx, "worker_crashed", 0,
+      {{"worker", Crash.Worker_.Worker_},
+       {"life", std::to_string(Crash.Worker_.Incarnation_)},
+       {"rack", Crash.Rack_},
+       {"runs", std::to_string(Crash.Tasks_.size())}});
+  sendToMembers(Ctx, CrashNews{.Crashes_ = {Crash}});
+  if (!Crash.Tasks_.empty())
+    Ctx.Out_.push_back(StoreCrash{Crash});
+}
+
+void withdrawCrashIfAlive(FleetStepContext &Ctx, const WorkerHold &Hold) {
+  const WorkerIncarnation Worker{Hold.Report_.Id_, Hold.Report_.Incarnation_};
+  if (!withdrawCrash(Ctx.State_.Crashes_, Worker))
+    return;
+  log(Ctx, "crash_withdrawn", 0,
+      {{"worker", Worker.Worker_},
+       {"life", std::to_string(Worker.Incarnation_)}});
+  sendToMembers(Ctx, CrashNews{.Withdrawn_ = {Worker}});
+  Ctx.Out_.push_back(ForgetCrash{Worker});
+}
+
+void handleCrashNews(FleetStepContext &Ctx, const CrashNews &News) {
+  FleetInstance &State = Ctx.State_;
+  for (const WorkerCrash &Crash : News.Crashes_)
+    recordCrash(State.Crashes_, Crash, State.Options_.Crashes_, Ctx.Now_);
+  for (const WorkerIncarnation &Worker : News.Withdrawn_)
+    withdrawCrash(State.Crashes_, Worker);
+}
+
+void applyStoredCrashes(FleetStepContext &Ctx, const CrashesRead &Read) {
+  for (const WorkerCrash &Crash : Read.Crashes_)
+    recordCrash(Ctx.State_.Crashes_, Crash, Ctx.State_.Options_.Crashes_,
+                Ctx.Now_);
+}
+
+void sendOwnCrashes(FleetStepContext &Ctx, Incarnation To) {
+  CrashNews News{.Crashes_ = listOwnCrashes(Ctx.State_.Crashes_, Ctx.Now_)};
+  if (!News.Crashes_.empty())
+    sendMessage(Ctx, To, std::move(News));
+}
+
+} // namespace marjorambend::internal
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -149,6 +149,7 @@
   }
   void operator()(const RosterNews &M) const { applyRosterNews(Ctx_, M); }
   void operator()(const RosterQuery &) const { answerRosterQuery(Ctx_, From_); }
+  void operator()(const CrashNews &M) const { handleCrashNews(Ctx_, M); }
 };
 
 // While this process was suspended, the other instances dropped their sessions
@@ -183,6 +184,7 @@
     chooseCoordinators(Ctx);
   if (!IsLate)
     choosePlacer(Ctx);
+  expireCrashes(State.Crashes_, State.Options_.Crashes_, Ctx.Now_);
   tickHolds(Ctx);
   expireJobs(Ctx);
   reviewEarlyJobs(Ctx);
@@ -196,6 +198,7 @@
   log(Ctx, "instance_up", 0,
       {{"other", Up.Info_.Name_}, {"data_centre", Up.Info_.DataCentre_}});
   sendStatus(Ctx, Up.Info_.Run_);
+  sendOwnCrashes(Ctx, Up.Info_.Run_);
   if (!State.Roster_.IsRead_)
     sendMessage(Ctx, Up.Info_.Run_, RosterQuery{});
 }
@@ -236,6 +239,7 @@
     Ctx_.State_.IsListFresh_ = false;
   }
   void operator()(const InstancesRead &E) const { applyInstances(Ctx_, E); }
+  void operator()(const CrashesRead &E) const { applyStoredCrashes(Ctx_, E); }
   void operator()(JobSubmission &E) const { submitJob(Ctx_, std::move(E)); }
   void operator()(const JobAbandoned &E) const { abandonJob(Ctx_, E.Token_); }
   void operator()(const JobCancel &E) const { cancelJob(Ctx_, E.Id_); }
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -68,6 +68,14 @@
 void sendPaces(FleetStepContext &Ctx, PaceUpdate Which);
 /// @}
 
+/// Crashes of workers; see Crashes.cpp.
+/// @{
+void handleCrashNews(FleetStepContext &Ctx, const CrashNews &News);
+void applyStoredCrashes(FleetStepContext &Ctx, const CrashesRead &Read);
+/// Sends the crashes that were noticed here.
+void sendOwnCrashes(FleetStepContext &Ctx, Incarnation To);
+/// @}
+
 /// Worker list and configuration from the platform's store; see News.cpp.
 /// @{
 void applyConfig(FleetStepContext &Ctx, ConfigRead Read);
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -53,6 +53,16 @@
                      const PollAnswered &Listed);
 /// @}
 
+/// Crashes of workers; see Crashes.cpp.
+/// @{
+/// Records that the worker has crashed, or is silent as if it had, under its
+/// runs but for \p Survivors; sends this to all instances.
+void noteCrash(FleetStepContext &Ctx, const WorkerHold &Hold,
+               const std::vector<ListedRun> &Survivors = {});
+/// Withdraws the crash of a worker that was only silent.
+void withdrawCrashIfAlive(FleetStepContext &Ctx, const WorkerHold &Hold);
+/// @}
+
 /// Claiming, polling and losing a worker; see Claims.cpp.
 /// @{
 /// Handles an answer which shows that another holder has claimed the worker, or
--- a/coordination/marjorambend/src/Fleet/HolderLists.cpp
+++ b/coordination/marjorambend/src/Fleet/HolderLists.cpp
@@ -42,18 +42,18 @@
 // are any.
 static bool stopUnknownRuns(FleetStepContext &Ctx, WorkerHold &Hold,
                             const PollAnswered &Listed) {
-  bool HasUnknownRuns = false;
+  Hold.UnknownRuns_.clear();
   for (const ListedRun &One : Listed.Running_) {
     if (Hold.Runs_.contains(One.Run_))
       continue;
-    HasUnknownRuns = true;
+    Hold.UnknownRuns_.push_back(One.Run_);
     log(Ctx, "stranger_stopped", One.Run_.Job_,
         {{"task", std::to_string(One.Run_.Task_)},
          {"attempt", std::to_string(One.Run_.Attempt_)},
          {"worker", Hold.Report_.Id_}});
     Ctx.Out_.push_back(StopRun{targetOf(Hold), One.Run_});
   }
-  return HasUnknownRuns;
+  return !Hold.UnknownRuns_.empty();
 }
 
 static void finishMissing(FleetStepContext &Ctx, WorkerHold &Hold,
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -85,10 +85,9 @@
   stopJob(Ctx, Job);
 }
 
-void requestWorkers(FleetStepContext &Ctx, OriginJob &Job,
-                    std::vector<uint32_t> Tasks) {
+static void sendPlaceRequest(FleetStepContext &Ctx, OriginJob &Job,
+                             std::vector<uint32_t> Tasks, bool IsSuspect) {
   const JobSubmission &Submission = Job.Submission_;
-  Job.Placer_ = Ctx.State_.Placer_;
   sendMessage(Ctx, Job.Placer_,
               PlaceRequest{.Job_ = Job.Number_,
                            .Id_ = Submission.Id_,
@@ -104,18 +103,104 @@
                            .DataRack_ = Submission.DataRack_,
                            .MaxPerWorker_ = Submission.MaxPerWorker_,
                            .Avoid_ = Job.UnreachableHolders_,
-                           .IsStarted_ = mayHaveRun(Job)});
+                           .IsStarted_ = mayHaveRun(Job),
+                           .IsSuspect_ = IsSuspect});
+}
+
+static bool isSuspect(const FleetInstance &State, const OriginJob &Job,
+                      uint32_t Task) {
+  return isSuspect(State.Crashes_, {Job.Submission_.Id_, Task},
+                   State.Options_.Crashes_);
+}
+
+// Whether a suspect task of the job is running, or is about to.
+static bool hasActiveSuspect(const FleetInstance &State, const OriginJob &Job) {
+  for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
+    const OriginTask &Task = Job.Tasks_[Index];
+    const bool IsActive =
+        Task.Phase_ == OriginTaskPhase::Dispatched ||
+        (Task.Phase_ == OriginTaskPhase::Waiting && !Task.IsHeldBack_);
+    if (IsActive && isSuspect(State, Job, Index))
+      return true;
+  }
+  return false;
+}
+
+// Suspect tasks of a job run one after the other, so that a job exposes one
+// worker at a time.
+void requestWorkers(FleetStepContext &Ctx, OriginJob &Job,
+                    const std::vector<uint32_t> &Tasks) {
+  Job.Placer_ = Ctx.State_.Placer_;
+  std::vector<uint32_t> Suspects;
+  std::vector<uint32_t> Others;
+  for (const uint32_t Task : Tasks) {
+    const bool IsSuspectTask = isSuspect(Ctx.State_, Job, Task);
+    (IsSuspectTask ? Suspects : Others).push_back(Task);
+    Job.Tasks_[Task].IsHeldBack_ = IsSuspectTask;
+  }
+  if (!Others.empty())
+    sendPlaceRequest(Ctx, Job, std::move(Others), false);
+  if (!Suspects.empty())
+    requestNextSuspect(Ctx, Job);
+}
+
+void requestNextSuspect(FleetStepContext &Ctx, OriginJob &Job) {
+  if (hasActiveSuspect(Ctx.State_, Job))
+    return;
+  const auto Next =
+      std::find_if(Job.Tasks_.begin(), Job.Tasks_.end(),
+                   [](const OriginTask &Task) { return Task.IsHeldBack_; });
+  if (Next == Job.Tasks_.end())
+    return;
+  Next->IsHeldBack_ = false;
+  const auto Task = static_cast<uint32_t>(Next - Job.Tasks_.begin());
+  log(Ctx, "task_isolated", Job.Submission_.Id_,
+      {{"task", std::to_string(Task)},
+       {"attempt", std::to_string(Next->Attempt_ + 1)}});
+  increment(Ctx.State_.Counters_, Counter::TasksIsolated);
+  sendPlaceRequest(Ctx, Job, {Task}, true);
 }
 
 std::vector<uint32_t> waitingTasks(const OriginJob &Job) {
   std::vector<uint32_t> Waiting;
   for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
-    if (Job.Tasks_[Index].Phase_ == OriginTaskPhase::Waiting)
+    const OriginTask &Task = Job.Tasks_[Index];
+    if (Task.Phase_ == OriginTaskPhase::Waiting && !Task.IsHeldBack_)
       Waiting.push_back(Index);
   }
   return Waiting;
 }
 
+// Tasks of a job under which workers have crashed too often.
+static std::vector<uint32_t> tasksOverCrashBudget(const FleetInstance &State,
+                                                  uint64_t Job) {
+  const CrashLedger &Ledger = State.Crashes_;
+  std::vector<uint32_t> Tasks;
+  for (auto It = Ledger.ByTask_.lower_bound({Job, 0});
+       It != Ledger.ByTask_.end() && It->first.Job_ == Job; ++It) {
+    if (exceedsCrashBudget(Ledger, It->first, State.Options_.Crashes_))
+      Tasks.push_back(It->first.Task_);
+  }
+  return Tasks;
+}
+
+static bool exceedsCrashBudget(const FleetInstance &State,
+                               const OriginJob &Job) {
+  const std::vector<uint32_t> Tasks =
+      tasksOverCrashBudget(State, Job.Submission_.Id_);
+  return std::any_of(Tasks.begin(), Tasks.end(), [&Job](uint32_t Task) {
+    return Task < Job.Tasks_.size() &&
+           Job.Tasks_[Task].Phase_ != OriginTaskPhase::Done;
+  });
+}
+
+// A task that crashes its workers can't be done.
+static void failCrashingJob(FleetStepContext &Ctx, OriginJob &Job) {
+  increment(Ctx.State_.Counters_, Counter::JobsCrashing);
+  answerJob(Ctx, Job, JobOutcome::Failed, "a task crashes its workers");
+  stopJob(Ctx, Job);
+}
+
 static void rejectSubmission(FleetStepContext &Ctx,
                              const JobSubmission &Submission,
                              JobOutcome Outcome, std::string_view Why,
@@ -203,6 +288,12 @@
   }
   if (joinJob(Ctx, Submission))
     return;
+  if (!tasksOverCrashBudget(State, Submission.Id_).empty()) {
+    increment(State.Counters_, Counter::JobsCrashing);
+    rejectSubmission(Ctx, Submission, JobOutcome::Failed,
+                     "a task crashes its workers");
+    return;
+  }
   const uint64_t Number = State.NextJobNumber_++;
   OriginJob &Job = State.Jobs_[Number];
   Job.Number_ = Number;
@@ -337,6 +428,12 @@
 void handlePlaced(FleetStepContext &Ctx, Incarnation From,
                   const Placed &Message) {
   OriginJob *Job = findJob(Ctx.State_, Message.Job_);
+  // Crashes may have become known while the tasks waited.
+  if (Job != nullptr && !Job->IsAnswered_ &&
+      exceedsCrashBudget(Ctx.State_, *Job)) {
+    failCrashingJob(Ctx, *Job);
+    Job = findJob(Ctx.State_, Message.Job_);
+  }
   std::vector<uint32_t> Retried;
   StartOrdersByHolder Orders;
   for (const Placement &Place : Message.Tasks_) {
@@ -358,7 +455,7 @@
   if (!Orders.empty())
     sendStartOrders(Ctx, *Job, std::move(Orders));
   if (!Retried.empty())
-    requestWorkers(Ctx, *Job, std::move(Retried));
+    requestWorkers(Ctx, *Job, Retried);
 }
 
 void handlePlaceRefused(FleetStepContext &Ctx, const PlaceRefused &Refused) {
@@ -376,7 +473,7 @@
     Task.Phase_ = OriginTaskPhase::Done;
     ++Job.DoneTasks_;
     if (Job.DoneTasks_ < Job.Tasks_.size())
-      return true;
+      return false;
     increment(Ctx.State_.Counters_, Counter::AnswersComplete);
     answerJob(Ctx, Job, JobOutcome::Completed, "all tasks are done");
     removeJob(Ctx, Job);
@@ -388,6 +485,11 @@
     stopJob(Ctx, Job);
     return true;
   }
+  if (exceedsCrashBudget(Ctx.State_.Crashes_, {Job.Submission_.Id_, Index},
+                         Ctx.State_.Options_.Crashes_)) {
+    failCrashingJob(Ctx, Job);
+    return true;
+  }
   return false;
 }
 
@@ -420,10 +522,15 @@
   }
   if (answerIfDecided(Ctx, *Job, Index, Ended.End_))
     return;
+  if (Task.Phase_ == OriginTaskPhase::Done) {
+    requestNextSuspect(Ctx, *Job);
+    return;
+  }
   if (Ended.End_ == RunEnd::Superseded)
     Task.Attempt_ += SkippedAttempts;
   Task.Phase_ = OriginTaskPhase::Waiting;
   requestWorkers(Ctx, *Job, {Index});
+  requestNextSuspect(Ctx, *Job);
 }
 
 void expireJobs(FleetStepContext &Ctx) {
--- a/coordination/marjorambend/src/Fleet/OriginJob.h
+++ b/coordination/marjorambend/src/Fleet/OriginJob.h
@@ -25,6 +25,8 @@
   std::string Worker_;
   Incarnation Holder_;
   Incarnation Placer_; ///< The placer with its reservation.
+  /// It waits for another suspect task of the job; no worker is requested yet.
+  bool IsHeldBack_ = false;
 };
 
 /// \brief A job at its origin, the instance that accepted it from its caller.
--- a/coordination/marjorambend/src/Fleet/OriginStep.h
+++ b/coordination/marjorambend/src/Fleet/OriginStep.h
@@ -15,11 +15,16 @@
 void giveUpJob(FleetStepContext &Ctx, OriginJob &Job, std::string_view Why,
                Milliseconds RetryAfter);
 
-/// \brief Asks the placer for workers for these tasks.
+/// \brief Asks the placer for workers for these tasks, and holds suspect ones
+/// back while another suspect task of the job is active.
 void requestWorkers(FleetStepContext &Ctx, OriginJob &Job,
-                    std::vector<uint32_t> Tasks);
+                    const std::vector<uint32_t> &Tasks);
 
-/// \brief Returns the tasks without a worker.
+/// \brief Asks the placer for a worker for the next suspect task, unless one
+/// is active.
+void requestNextSuspect(FleetStepContext &Ctx, OriginJob &Job);
+
+/// \brief Returns the tasks for which workers were requested.
 std::vector<uint32_t> waitingTasks(const OriginJob &Job);
 
 /// \brief Whether there is a session with that instance, or it is this one.
--- a/coordination/marjorambend/src/Fleet/Placement.cpp
+++ b/coordination/marjorambend/src/Fleet/Placement.cpp
@@ -227,4 +227,21 @@
   return Best;
 }
 
+std::map<std::string, PlacerWorker>::iterator
+chooseIsolatedWorker(PlacerState &Placer, const PlacerJob &Job,
+                     Milliseconds Now) {
+  const TaskRequirements Requirements{.Job_ = Job};
+  auto Best = Placer.Workers_.end();
+  for (auto It = Placer.Workers_.begin(); It != Placer.Workers_.end(); ++It) {
+    if (!internal::canStartNow(It->second, It->first, Requirements, Now))
+      continue;
+    const auto Rank = [](const PlacerWorker &Worker) {
+      return std::pair{Worker.Reserved_.MilliCores_, Worker.Held_.Slowness_};
+    };
+    if (Best == Placer.Workers_.end() || Rank(It->second) < Rank(Best->second))
+      Best = It;
+  }
+  return Best;
+}
+
 } // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/Placement.h
+++ b/coordination/marjorambend/src/Fleet/Placement.h
@@ -36,6 +36,14 @@
 chooseWorker(PlacerState &Placer, const TaskRequirements &Requirements,
              const PlacerOptions &Options, Milliseconds Now);
 
+/// \brief Chooses the eligible worker with the least other work, for a task
+/// that may crash it.
+///
+/// \returns the worker's entry, or the end of the workers if none has room.
+std::map<std::string, PlacerWorker>::iterator
+chooseIsolatedWorker(PlacerState &Placer, const PlacerJob &Job,
+                     Milliseconds Now);
+
 /// \brief Bucket of workers of similar slowness; higher buckets are slower.
 int slownessBucket(double Slowness);
 
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -19,12 +19,21 @@
   updateWorkerIndex(Placer, Id, Found->second);
 }
 
-static void unreserve(PlacerState &Placer, const PlacerJob &Job,
-                      const std::string &Worker) {
-  addReservation(Placer, Worker, Room{} - Job.Request_.Needs_);
+static void unreserve(PlacerState &Placer, const Reservation &Released) {
+  addReservation(Placer, Released.Worker_, Room{} - Released.Amount_);
   Placer.IsDirty_ = true;
 }
 
+Room amountToReserve(const PlacerState &Placer, const std::string &Worker,
+                     const Room &Needs, bool IsSuspect) {
+  const auto Known = Placer.Workers_.find(Worker);
+  if (!IsSuspect || Known == Placer.Workers_.end())
+    return Needs;
+  const Room Free =
+      Known->second.Held_.Report_.Capacity_ - Known->second.Reserved_;
+  return fits(Needs, Free) ? Free : Needs;
+}
+
 static void removeFromQueue(PlacerState &Placer, PlacerJob &Job) {
   if (Job.Waiting_)
     removeFromQueue(queueOf(Placer, Job), *Job.Waiting_);
@@ -95,7 +104,7 @@
       continue;
     }
     for (const Reservation &One : It->second.Reservations_)
-      unreserve(Placer, It->second, One.Worker_);
+      unreserve(Placer, One);
     removeFromQueue(Placer, It->second);
     It = Placer.Jobs_.erase(It);
   }
@@ -128,6 +137,8 @@
   Job.GiveUpAt_ = Ctx.Now_ + Request.GiveUpIn_;
   std::vector<uint32_t> Waiting = std::move(Job.Request_.Tasks_);
   Waiting.insert(Waiting.end(), Request.Tasks_.begin(), Request.Tasks_.end());
+  if (Request.IsSuspect_)
+    Job.Suspects_.insert(Request.Tasks_.begin(), Request.Tasks_.end());
   Job.Request_ = std::move(Request);
   Job.Request_.Tasks_ = std::move(Waiting);
   removeFromQueue(Placer, Job);
@@ -160,6 +171,7 @@
   if (Found == Placer.Jobs_.end())
     return;
   Found->second.Request_.Tasks_.clear();
+  Found->second.Suspects_.clear();
   removeIfDone(Placer, Key);
 }
 
@@ -180,7 +192,7 @@
   if (Place.End_ == RunEnd::NotStarted && Worker != Placer.Workers_.end())
     Worker->second.BackOffUntil_ =
         Ctx.Now_ + Ctx.State_.Options_.Placer_.BackOff_;
-  unreserve(Placer, Job, One->Worker_);
+  unreserve(Placer, *One);
   Job.Reservations_.erase(One);
   removeIfDone(Placer, Key);
 }
@@ -191,8 +203,10 @@
   PlacerJob &Job = Placer.Jobs_[{Origin, Place.Job_}];
   Job.Origin_ = Origin;
   Job.Request_.Needs_ = Place.Needs_;
-  Job.Reservations_.push_back({Place.Task_, Place.Worker_});
-  addReservation(Placer, Place.Worker_, Place.Needs_);
+  const Room Amount =
+      amountToReserve(Placer, Place.Worker_, Place.Needs_, Place.IsSuspect_);
+  Job.Reservations_.push_back({Place.Task_, Place.Worker_, Amount});
+  addReservation(Placer, Place.Worker_, Amount);
 }
 
 } // namespace marjorambend::internal
--- a/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
@@ -11,11 +11,11 @@
 static void moveToNewPlacer(FleetStepContext &Ctx, Incarnation Previous) {
   const bool IsPreviousReachable = isReachable(Ctx.State_, Previous);
   for (auto &[Number, Job] : Ctx.State_.Jobs_) {
-    std::vector<uint32_t> Waiting = waitingTasks(Job);
+    const std::vector<uint32_t> Waiting = waitingTasks(Job);
     if (!Waiting.empty() && IsPreviousReachable)
       sendMessage(Ctx, Previous, PlaceWithdraw{Number});
     if (!Waiting.empty())
-      requestWorkers(Ctx, Job, std::move(Waiting));
+      requestWorkers(Ctx, Job, Waiting);
     for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
       OriginTask &Task = Job.Tasks_[Index];
       if (Task.Phase_ != OriginTaskPhase::Dispatched)
@@ -24,9 +24,15 @@
         sendMessage(Ctx, Task.Placer_,
                     PlaceRelease{Number, Index, RunEnd::Done});
       Task.Placer_ = Ctx.State_.Placer_;
+      const TaskId Id{Job.Submission_.Id_, Index};
       sendMessage(
           Ctx, Task.Placer_,
-          PlaceAdopt{Number, Index, Task.Worker_, Job.Submission_.Needs_});
+          PlaceAdopt{.Job_ = Number,
+                     .Task_ = Index,
+                     .Worker_ = Task.Worker_,
+                     .Needs_ = Job.Submission_.Needs_,
+                     .IsSuspect_ = isSuspect(Ctx.State_.Crashes_, Id,
+                                             Ctx.State_.Options_.Crashes_)});
     }
   }
 }
--- a/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
@@ -131,6 +131,7 @@
        {"view_age_ms", toString(oldestView(Ctx))},
        {"retry_after_ms", toString(RetryAfter)}});
   Job.Request_.Tasks_.clear();
+  Job.Suspects_.clear();
   sendMessage(Ctx, Job.Origin_, PlaceRefused{Job.Request_.Job_, RetryAfter});
   removeIfDone(Placer, Key);
 }
@@ -188,8 +189,11 @@
   Placed Answer{.Job_ = Job.Request_.Job_};
   std::vector<uint32_t> &Tasks = Job.Request_.Tasks_;
   while (!Tasks.empty()) {
-    const auto Chosen = chooseWorker(Placer, Requirements,
-                                     Ctx.State_.Options_.Placer_, Ctx.Now_);
+    const bool IsSuspect = Job.Suspects_.contains(Tasks.front());
+    const auto Chosen =
+        IsSuspect ? chooseIsolatedWorker(Placer, Job, Ctx.Now_)
+                  : chooseWorker(Placer, Requirements,
+                                 Ctx.State_.Options_.Placer_, Ctx.Now_);
     if (Chosen == Placer.Workers_.end())
       break;
     Answer.Tasks_.push_back(
@@ -198,8 +202,11 @@
          .Holder_ = Chosen->second.Holder_,
          .FreeMilliCores_ = Chosen->second.Key_->FreeMilliCores_,
          .ViewAge_ = viewAge(Ctx, Chosen->second.Holder_)});
-    addReservation(Placer, Chosen->first, Job.Request_.Needs_);
-    Job.Reservations_.push_back({Tasks.front(), Chosen->first});
+    const Room Amount =
+        amountToReserve(Placer, Chosen->first, Job.Request_.Needs_, IsSuspect);
+    addReservation(Placer, Chosen->first, Amount);
+    Job.Reservations_.push_back({Tasks.front(), Chosen->first, Amount});
+    Job.Suspects_.erase(Tasks.front());
     Tasks.erase(Tasks.begin());
   }
   if (!Answer.Tasks_.empty())
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -47,6 +47,7 @@
 struct Reservation {
   uint32_t Task_ = 0;
   std::string Worker_;
+  Room Amount_; ///< What the task needs; all that was free for a suspect task.
 };
 
 /// \brief A job as known to the placer.
@@ -58,6 +59,7 @@
   Milliseconds ObjectiveAt_;
   Milliseconds GiveUpAt_;
   std::vector<Reservation> Reservations_;
+  std::set<uint32_t> Suspects_;       ///< Waiting tasks that may crash workers.
   std::optional<WaitingJob> Waiting_; ///< Its entry in a queue.
   bool IsLate_ = false;               ///< The entry is in PlacerState::Late_.
 };
--- a/coordination/marjorambend/src/Fleet/PlacerStep.h
+++ b/coordination/marjorambend/src/Fleet/PlacerStep.h
@@ -16,6 +16,11 @@
   return Job.IsLate_ ? Placer.Late_ : Placer.InTime_;
 }
 
+/// \brief What a task reserves on a worker: its needs, or all that is free for
+/// a suspect task.
+Room amountToReserve(const PlacerState &Placer, const std::string &Worker,
+                     const Room &Needs, bool IsSuspect);
+
 /// \brief Removes a job without waiting tasks from its queue, and altogether if
 /// nothing is reserved for it.
 void removeIfDone(PlacerState &Placer, const PlacerJobKey &Key);
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace marjorambend {
 
@@ -61,6 +62,8 @@
   uint64_t AckedThrough_ = 0; ///< Number of the last processed end of a run.
   std::map<RunId, HeldRun> Runs_;
   Room Used_; ///< Taken by these runs.
+  /// Runs in its last lists that this instance has not ordered.
+  std::vector<RunId> UnknownRuns_;
   uint64_t NextPoll_ = 1;
   bool IsPolling_ = false;
   Milliseconds NextPollAt_;
--- a/coordination/test/Golden/FleetSessions.cpp
+++ b/coordination/test/Golden/FleetSessions.cpp
@@ -36,6 +36,13 @@
   std::string operator()(const DecodeConfigText &) const {
     return "decode a configuration";
   }
+  std::string operator()(const StoreCrash &A) const {
+    return "store the crash of " + A.Crash_.Worker_.Worker_ + " under " +
+           std::to_string(A.Crash_.Tasks_.size()) + " tasks";
+  }
+  std::string operator()(const ForgetCrash &A) const {
+    return "forget the crash of " + A.Worker_.Worker_;
+  }
   std::string operator()(const LogDecision &A) const {
     std::string Text = "log " + std::string(A.What_);
     for (const auto &[Name, Value] : A.Fields_) {
