Encode and decode news of crashed workers

Cause: CrashNews and the suspect flags of PlaceRequest and PlaceAdopt have no form on the wire. Change: table CrashNews at the end of the union, is_suspect at the end of both tables, so that frames of the previous version stay readable; an age below zero is read as zero.

--- a/transport/marjorambend/src/Transport/FleetDecoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetDecoder.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet_generated.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -78,7 +79,8 @@
                      .Label_ = fromWire(M.label()),
                      .DataRack_ = fromWire(M.data_rack()),
                      .MaxPerWorker_ = M.max_per_worker(),
-                     .IsStarted_ = M.is_started()};
+                     .IsStarted_ = M.is_started(),
+                     .IsSuspect_ = M.is_suspect()};
   if (M.tasks() != nullptr)
     Given.Tasks_.assign(M.tasks()->begin(), M.tasks()->end());
   if (M.avoid() != nullptr) {
@@ -154,6 +156,38 @@
   return Given;
 }
 
+static WorkerIncarnation fromWire(const fleetwire::WorkerIncarnation *Given) {
+  if (Given == nullptr)
+    return {};
+  return {.Worker_ = fromWire(Given->worker()),
+          .Incarnation_ = Given->incarnation()};
+}
+
+static WorkerCrash toCrash(const fleetwire::WorkerCrash &M) {
+  WorkerCrash Given{.Worker_ = fromWire(M.worker()),
+                    .Rack_ = fromWire(M.rack()),
+                    .RackSize_ = M.rack_size(),
+                    .Age_ = {std::max<int64_t>(0, M.age_ms())}};
+  if (M.tasks() == nullptr)
+    return Given;
+  for (const auto *One : *M.tasks())
+    Given.Tasks_.push_back({One->job(), One->task()});
+  return Given;
+}
+
+static CrashNews toCrashNews(const fleetwire::CrashNews &M) {
+  CrashNews Given;
+  if (M.crashes() != nullptr) {
+    for (const auto *One : *M.crashes())
+      Given.Crashes_.push_back(toCrash(*One));
+  }
+  if (M.withdrawn() != nullptr) {
+    for (const auto *One : *M.withdrawn())
+      Given.Withdrawn_.push_back(fromWire(One));
+  }
+  return Given;
+}
+
 static std::optional<
     std::variant<SessionHello, SessionConfirmation, FleetMessage>>
 toBody(const fleetwire::Frame &Frame) {
@@ -181,8 +215,11 @@
   }
   case fleetwire::Body::PlaceAdopt: {
     const auto &M = *Frame.body_as_PlaceAdopt();
-    return PlaceAdopt{M.job(), M.task(), fromWire(M.worker()),
-                      fromWire(M.needs())};
+    return PlaceAdopt{.Job_ = M.job(),
+                      .Task_ = M.task(),
+                      .Worker_ = fromWire(M.worker()),
+                      .Needs_ = fromWire(M.needs()),
+                      .IsSuspect_ = M.is_suspect()};
   }
   case fleetwire::Body::Placed:
     return toPlaced(*Frame.body_as_Placed());
@@ -200,6 +237,8 @@
     return toRoster(*Frame.body_as_RosterNews());
   case fleetwire::Body::WorkerPaces:
     return toPaces(*Frame.body_as_WorkerPaces());
+  case fleetwire::Body::CrashNews:
+    return toCrashNews(*Frame.body_as_CrashNews());
   case fleetwire::Body::RosterQuery:
     return RosterQuery{};
   case fleetwire::Body::Confirmation:
--- a/transport/marjorambend/src/Transport/FleetEncoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetEncoder.cpp
@@ -94,11 +94,11 @@
       Runs.push_back(One.Value_);
     const auto Avoid = Runs.empty() ? 0 : B_.CreateVector(Runs);
     return {fleetwire::Body::PlaceRequest,
-            fleetwire::CreatePlaceRequest(B_, M.Job_, M.Id_, Route, Service,
-                                          Tasks, &Needs, M.Estimate_.Count_,
-                                          M.Priority_, M.ObjectiveIn_.Count_,
-                                          M.GiveUpIn_.Count_, Label, Rack,
-                                          M.MaxPerWorker_, Avoid, M.IsStarted_)
+            fleetwire::CreatePlaceRequest(
+                B_, M.Job_, M.Id_, Route, Service, Tasks, &Needs,
+                M.Estimate_.Count_, M.Priority_, M.ObjectiveIn_.Count_,
+                M.GiveUpIn_.Count_, Label, Rack, M.MaxPerWorker_, Avoid,
+                M.IsStarted_, M.IsSuspect_)
                 .Union()};
   }
   FleetBody operator()(const PlaceWithdraw &M) const {
@@ -115,7 +115,8 @@
     const auto Worker = text(M.Worker_);
     const fleetwire::Room Needs = toWire(M.Needs_);
     return {fleetwire::Body::PlaceAdopt,
-            fleetwire::CreatePlaceAdopt(B_, M.Job_, M.Task_, Worker, &Needs)
+            fleetwire::CreatePlaceAdopt(B_, M.Job_, M.Task_, Worker, &Needs,
+                                        M.IsSuspect_)
                 .Union()};
   }
   FleetBody operator()(const Placed &M) const {
@@ -172,6 +173,32 @@
     return {fleetwire::Body::WorkerPaces,
             fleetwire::CreateWorkerPaces(B_, All).Union()};
   }
+  auto incarnation(const WorkerIncarnation &Given) const {
+    return fleetwire::CreateWorkerIncarnation(B_, text(Given.Worker_),
+                                              Given.Incarnation_);
+  }
+  auto crash(const WorkerCrash &Given) const {
+    std::vector<fleetwire::TaskId> Ids;
+    for (const TaskId &One : Given.Tasks_)
+      Ids.emplace_back(One.Job_, One.Task_);
+    const auto Worker = incarnation(Given.Worker_);
+    const auto Tasks = B_.CreateVectorOfStructs(Ids);
+    const auto Rack = text(Given.Rack_);
+    return fleetwire::CreateWorkerCrash(B_, Worker, Tasks, Rack,
+                                        Given.RackSize_, Given.Age_.Count_);
+  }
+  FleetBody operator()(const CrashNews &M) const {
+    std::vector<flatbuffers::Offset<fleetwire::WorkerCrash>> Crashes;
+    for (const WorkerCrash &One : M.Crashes_)
+      Crashes.push_back(crash(One));
+    std::vector<flatbuffers::Offset<fleetwire::WorkerIncarnation>> Withdrawn;
+    for (const WorkerIncarnation &One : M.Withdrawn_)
+      Withdrawn.push_back(incarnation(One));
+    const auto All = B_.CreateVector(Crashes);
+    const auto Gone = B_.CreateVector(Withdrawn);
+    return {fleetwire::Body::CrashNews,
+            fleetwire::CreateCrashNews(B_, All, Gone).Union()};
+  }
   FleetBody operator()(const RosterQuery &) const {
     return {fleetwire::Body::RosterQuery,
             fleetwire::CreateRosterQuery(B_).Union()};
