--- a/coordination/marjorambend/src/Fleet/FleetActions.h
+++ b/coordination/marjorambend/src/Fleet/FleetActions.h
@@ -93,6 +93,11 @@
   WorkerCrash Crash_;
 };
 
+/// \brief Remove a crash from the platform's store: the worker was only silent.
+struct ForgetCrash {
+  WorkerIncarnation Worker_;
+};
+
 /// \brief One field of a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
@@ -105,9 +110,9 @@
 };
 
 /// \brief All actions that an instance of the fleet can request.
-using FleetAction =
-    std::variant<AnswerJob, StartRun, StopRun, PollWorker, SendMessage,
-                 DecodeConfigText, LinkInstances, StoreCrash, LogDecision>;
+using FleetAction = std::variant<AnswerJob, StartRun, StopRun, PollWorker,
+                                 SendMessage, DecodeConfigText, LinkInstances,
+                                 StoreCrash, ForgetCrash, LogDecision>;
 
 /// \brief Actions in the order in which they are to be done.
 using FleetActions = std::vector<FleetAction>;
