--- a/coordination/marjorambend/src/Fleet/FleetActions.h
+++ b/coordination/marjorambend/src/Fleet/FleetActions.h
@@ -93,7 +93,7 @@
   WorkerCrash Crash_;
 };
 
-/// \brief Remove a crash from the platform's store.
+/// \brief Remove a crash from the platform's store: the worker was only silent.
 struct ForgetCrash {
   WorkerIncarnation Worker_;
 };
--- a/coordination/test/Fleet/CrashTests.cpp
+++ b/coordination/test/Fleet/CrashTests.cpp
@@ -23,9 +23,11 @@
     for (int Poll = 0; Poll < 80; ++Poll) {
       for (FleetAction &One : Instance_.advance(20))
         All.push_back(std::move(One));
-      Instance_.handle(PollAnswered{.Worker_ = "w",
-                                    .Poll_ = Instance_.LastPoll_.Poll_,
-                                    .Result_ = OrderResult::NotDelivered});
+      const PollAnswered Failed{.Worker_ = "w",
+                                .Poll_ = Instance_.LastPoll_.Poll_,
+                                .Result_ = OrderResult::NotDelivered};
+      for (FleetAction &One : Instance_.handle(Failed))
+        All.push_back(std::move(One));
     }
     for (int Poll = 0; Poll < 3; ++Poll) {
       for (FleetAction &One : Instance_.listRuns({}, {}, NextIncarnation))
