Attribute crashes to runs that have just failed, and to those whose holder was lost

A holder killed with its worker leaves nobody who knows the runs but their origins. A job whose time was over before the second crash was certain was answered as may have run, so that its caller resubmitted it. Change: failed runs of the last second count under a crash; origins remember runs lost with their holder for six seconds and add them to a crash of that worker; a job over its crash budget is answered failed however it is given up. Result: unit tests of each.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -167,6 +167,7 @@
   Hold.Slowness_ = 1.0;
   Hold.ConsecutiveFailures_ = 0;
   Hold.UnknownRuns_.clear();
+  Hold.FailedTasks_.clear();
   announceIfChanged(Ctx, Hold);
 }
 
--- a/coordination/marjorambend/src/Fleet/CrashLedger.h
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.h
@@ -53,6 +53,14 @@
   Milliseconds Age_;          ///< Time since it was noticed.
 };
 
+/// \brief A task whose run was lost with the holder of its worker, which may
+/// have crashed as well.
+struct OrphanedRun {
+  TaskId Task_;
+  std::string Worker_;
+  Milliseconds LostAt_;
+};
+
 /// \brief Options for tasks under which workers crash.
 struct CrashOptions {
   /// Crashes under a task after which it is given up, without those of a rack
@@ -66,6 +74,12 @@
   /// MinRackCrashes_ of them.
   double RackShare_ = 0.75;
   uint32_t MinRackCrashes_ = 3;
+  /// Time after the failure of a run in which a crash of its worker is
+  /// attributed to it as well.
+  Milliseconds FailureWindow_{1'000};
+  /// Time after the loss of a holder in which a crash of one of its workers is
+  /// attributed to the tasks that ran there; workers are back within seconds.
+  Milliseconds OrphanWindow_{6'000};
   /// Time for which crashes are kept; longer than any caller resubmits a job.
   Milliseconds Retention_{120'000};
   /// Most crashes that are kept; the oldest are dropped first.
--- a/coordination/marjorambend/src/Fleet/Crashes.cpp
+++ b/coordination/marjorambend/src/Fleet/Crashes.cpp
@@ -48,11 +48,46 @@
           .RackSize_ = Domain.Workers_};
 }
 
-void noteCrash(FleetStepContext &Ctx, const WorkerHold &Hold,
-               const std::vector<ListedRun> &Survivors) {
-  // A worker that drains ends all runs when it leaves.
-  if (Hold.Report_.IsDraining_)
+static std::vector<TaskId> orphanedTasks(const FleetInstance &State,
+                                         const std::string &Worker) {
+  std::vector<TaskId> Tasks;
+  for (const OrphanedRun &Run : State.OrphanedRuns_) {
+    if (Run.Worker_ == Worker)
+      Tasks.push_back(Run.Task_);
+  }
+  return Tasks;
+}
+
+// The new holder of a worker does not know which runs its predecessor had
+// started there; their origins do.
+static void addOrphanedTasks(FleetStepContext &Ctx, const WorkerCrash &Crash) {
+  WorkerCrash Orphans = Crash;
+  Orphans.Tasks_ = orphanedTasks(Ctx.State_, Crash.Worker_.Worker_);
+  if (Orphans.Tasks_.empty() ||
+      !recordCrash(Ctx.State_.Crashes_, Orphans, Ctx.State_.Options_.Crashes_,
+                   Ctx.Now_))
     return;
+  sendToMembers(Ctx, CrashNews{.Crashes_ = {Orphans}});
+  Ctx.Out_.push_back(StoreCrash{Orphans});
+}
+
+static bool isRecentFailure(const FleetStepContext &Ctx,
+                            Milliseconds FailedAt) {
+  return Ctx.Now_ - FailedAt <= Ctx.State_.Options_.Crashes_.FailureWindow_;
+}
+
+void noteFailedTask(const FleetStepContext &Ctx, WorkerHold &Hold,
+                    const TaskId &Task) {
+  while (!Hold.FailedTasks_.empty() &&
+         !isRecentFailure(Ctx, Hold.FailedTasks_.front().second))
+    Hold.FailedTasks_.pop_front();
+  Hold.FailedTasks_.emplace_back(Task, Ctx.Now_);
+}
+
+// Tasks that may have run when the worker crashed.
+static std::vector<TaskId>
+tasksUnderCrash(const FleetStepContext &Ctx, const WorkerHold &Hold,
+                const std::vector<ListedRun> &Survivors) {
   std::vector<TaskId> Tasks;
   for (const auto &[Id, Run] : Hold.Runs_) {
     const bool HasSurvived = std::any_of(
@@ -63,8 +98,21 @@
   }
   for (const RunId &Id : Hold.UnknownRuns_)
     Tasks.push_back({Id.Job_, Id.Task_});
+  for (const auto &[Task, FailedAt] : Hold.FailedTasks_) {
+    if (isRecentFailure(Ctx, FailedAt))
+      Tasks.push_back(Task);
+  }
+  return Tasks;
+}
+
+void noteCrash(FleetStepContext &Ctx, const WorkerHold &Hold,
+               const std::vector<ListedRun> &Survivors) {
+  // A worker that drains ends all runs when it leaves.
+  if (Hold.Report_.IsDraining_)
+    return;
   CrashLedger &Ledger = Ctx.State_.Crashes_;
-  const WorkerCrash Crash = crashOf(Ctx, Hold, std::move(Tasks));
+  const WorkerCrash Crash =
+      crashOf(Ctx, Hold, tasksUnderCrash(Ctx, Hold, Survivors));
   if (!recordCrash(Ledger, Crash, Ctx.State_.Options_.Crashes_, Ctx.Now_))
     return;
   Ledger.Crashes_.at(Crash.Worker_).IsNoticedHere_ = true;
@@ -77,6 +125,7 @@
   sendToMembers(Ctx, CrashNews{.Crashes_ = {Crash}});
   if (!Crash.Tasks_.empty())
     Ctx.Out_.push_back(StoreCrash{Crash});
+  addOrphanedTasks(Ctx, Crash);
 }
 
 void withdrawCrashIfAlive(FleetStepContext &Ctx, const WorkerHold &Hold) {
@@ -92,12 +141,29 @@
 
 void handleCrashNews(FleetStepContext &Ctx, const CrashNews &News) {
   FleetInstance &State = Ctx.State_;
-  for (const WorkerCrash &Crash : News.Crashes_)
-    recordCrash(State.Crashes_, Crash, State.Options_.Crashes_, Ctx.Now_);
+  for (const WorkerCrash &Crash : News.Crashes_) {
+    if (recordCrash(State.Crashes_, Crash, State.Options_.Crashes_, Ctx.Now_))
+      addOrphanedTasks(Ctx, Crash);
+  }
   for (const WorkerIncarnation &Worker : News.Withdrawn_)
     withdrawCrash(State.Crashes_, Worker);
 }
 
+void addOrphanedRun(FleetStepContext &Ctx, const TaskId &Task,
+                    const std::string &Worker) {
+  Ctx.State_.OrphanedRuns_.push_back({Task, Worker, Ctx.Now_});
+}
+
+void expireCrashRecords(FleetStepContext &Ctx) {
+  FleetInstance &State = Ctx.State_;
+  const CrashOptions &Options = State.Options_.Crashes_;
+  expireCrashes(State.Crashes_, Options, Ctx.Now_);
+  std::deque<OrphanedRun> &Runs = State.OrphanedRuns_;
+  while (!Runs.empty() &&
+         Ctx.Now_ - Runs.front().LostAt_ > Options.OrphanWindow_)
+    Runs.pop_front();
+}
+
 void applyStoredCrashes(FleetStepContext &Ctx, const CrashesRead &Read) {
   for (const WorkerCrash &Crash : Read.Crashes_)
     recordCrash(Ctx.State_.Crashes_, Crash, Ctx.State_.Options_.Crashes_,
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -184,7 +184,7 @@
     chooseCoordinators(Ctx);
   if (!IsLate)
     choosePlacer(Ctx);
-  expireCrashes(State.Crashes_, State.Options_.Crashes_, Ctx.Now_);
+  expireCrashRecords(Ctx);
   tickHolds(Ctx);
   expireJobs(Ctx);
   reviewEarlyJobs(Ctx);
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -14,6 +14,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -115,6 +116,8 @@
   std::map<std::string, Milliseconds> DataCentreHeardAt_;
   Milliseconds NextHoldReview_;
   CrashLedger Crashes_; ///< Of the workers of the whole fleet.
+  /// Runs of this origin's jobs; \sa CrashOptions::OrphanWindow_
+  std::deque<OrphanedRun> OrphanedRuns_;
 
   PlacerState Placing_;
 };
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -74,6 +74,11 @@
 void applyStoredCrashes(FleetStepContext &Ctx, const CrashesRead &Read);
 /// Sends the crashes that were noticed here.
 void sendOwnCrashes(FleetStepContext &Ctx, Incarnation To);
+/// Remembers that the run of a task was lost with the holder of its worker.
+void addOrphanedRun(FleetStepContext &Ctx, const TaskId &Task,
+                    const std::string &Worker);
+/// Removes crashes and orphaned runs that are too old.
+void expireCrashRecords(FleetStepContext &Ctx);
 /// @}
 
 /// Worker list and configuration from the platform's store; see News.cpp.
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -59,6 +59,9 @@
 /// runs but for \p Survivors; sends this to all instances.
 void noteCrash(FleetStepContext &Ctx, const WorkerHold &Hold,
                const std::vector<ListedRun> &Survivors = {});
+/// Remembers a failed run for a crash that may follow.
+void noteFailedTask(const FleetStepContext &Ctx, WorkerHold &Hold,
+                    const TaskId &Task);
 /// Withdraws the crash of a worker that was only silent.
 void withdrawCrashIfAlive(FleetStepContext &Ctx, const WorkerHold &Hold);
 /// @}
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -77,8 +77,43 @@
     removeJob(Ctx, Job);
 }
 
+// Tasks of a job under which workers have crashed too often.
+static std::vector<uint32_t> tasksOverCrashBudget(const FleetInstance &State,
+                                                  uint64_t Job) {
+  const CrashLedger &Ledger = State.Crashes_;
+  std::vector<uint32_t> Tasks;
+  for (auto It = Ledger.ByTask_.lower_bound({Job, 0});
+       It != Ledger.ByTask_.end() && It->first.Job_ == Job; ++It) {
+    if (exceedsCrashBudget(Ledger, It->first, State.Options_.Crashes_))
+      Tasks.push_back(It->first.Task_);
+  }
+  return Tasks;
+}
+
+static bool exceedsCrashBudget(const FleetInstance &State,
+                               const OriginJob &Job) {
+  const std::vector<uint32_t> Tasks =
+      tasksOverCrashBudget(State, Job.Submission_.Id_);
+  return std::any_of(Tasks.begin(), Tasks.end(), [&Job](uint32_t Task) {
+    return Task < Job.Tasks_.size() &&
+           Job.Tasks_[Task].Phase_ != OriginTaskPhase::Done;
+  });
+}
+
+// A task that crashes its workers can't be done.
+static void failCrashingJob(FleetStepContext &Ctx, OriginJob &Job) {
+  increment(Ctx.State_.Counters_, Counter::JobsCrashing);
+  answerJob(Ctx, Job, JobOutcome::Failed, "a task crashes its workers");
+  stopJob(Ctx, Job);
+}
+
 void giveUpJob(FleetStepContext &Ctx, OriginJob &Job, std::string_view Why,
                Milliseconds RetryAfter) {
+  // Its caller would only resubmit it.
+  if (exceedsCrashBudget(Ctx.State_, Job)) {
+    failCrashingJob(Ctx, Job);
+    return;
+  }
   const JobOutcome Outcome =
       mayHaveRun(Job) ? JobOutcome::MayHaveRun : JobOutcome::NotRun;
   answerJob(Ctx, Job, Outcome, Why, RetryAfter);
@@ -171,36 +206,6 @@
   return Waiting;
 }
 
-// Tasks of a job under which workers have crashed too often.
-static std::vector<uint32_t> tasksOverCrashBudget(const FleetInstance &State,
-                                                  uint64_t Job) {
-  const CrashLedger &Ledger = State.Crashes_;
-  std::vector<uint32_t> Tasks;
-  for (auto It = Ledger.ByTask_.lower_bound({Job, 0});
-       It != Ledger.ByTask_.end() && It->first.Job_ == Job; ++It) {
-    if (exceedsCrashBudget(Ledger, It->first, State.Options_.Crashes_))
-      Tasks.push_back(It->first.Task_);
-  }
-  return Tasks;
-}
-
-static bool exceedsCrashBudget(const FleetInstance &State,
-                               const OriginJob &Job) {
-  const std::vector<uint32_t> Tasks =
-      tasksOverCrashBudget(State, Job.Submission_.Id_);
-  return std::any_of(Tasks.begin(), Tasks.end(), [&Job](uint32_t Task) {
-    return Task < Job.Tasks_.size() &&
-           Job.Tasks_[Task].Phase_ != OriginTaskPhase::Done;
-  });
-}
-
-// A task that crashes its workers can't be done.
-static void failCrashingJob(FleetStepContext &Ctx, OriginJob &Job) {
-  increment(Ctx.State_.Counters_, Counter::JobsCrashing);
-  answerJob(Ctx, Job, JobOutcome::Failed, "a task crashes its workers");
-  stopJob(Ctx, Job);
-}
-
 static void rejectSubmission(FleetStepContext &Ctx,
                              const JobSubmission &Submission,
                              JobOutcome Outcome, std::string_view Why,
@@ -561,6 +566,7 @@
       Task.Phase_ = OriginTaskPhase::Dropped;
       Job.HasEndedRuns_ = true;
       ++LostTasks;
+      addOrphanedRun(Ctx, {Job.Submission_.Id_, Index}, Task.Worker_);
       if (isReachable(Ctx.State_, Task.Placer_))
         sendMessage(Ctx, Task.Placer_,
                     PlaceRelease{Number, Index, RunEnd::Lost});
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -1,11 +1,14 @@
 #ifndef MARJORAMBEND_FLEET_WORKERHOLD_H
 #define MARJORAMBEND_FLEET_WORKERHOLD_H
 
+#include "marjorambend/src/Fleet/CrashLedger.h"
 #include "marjorambend/src/Fleet/FleetTypes.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace marjorambend {
@@ -62,6 +65,9 @@
   uint64_t AckedThrough_ = 0; ///< Number of the last processed end of a run.
   std::map<RunId, HeldRun> Runs_;
   Room Used_; ///< Taken by these runs.
+  /// Tasks whose runs have failed lately, and when.
+  /// \sa CrashOptions::FailureWindow_
+  std::deque<std::pair<TaskId, Milliseconds>> FailedTasks_;
   /// Runs in its last lists that this instance has not ordered.
   std::vector<RunId> UnknownRuns_;
   uint64_t NextPoll_ = 1;
--- a/coordination/test/Fleet/CrashTests.cpp
+++ b/coordination/test/Fleet/CrashTests.cpp
@@ -81,6 +81,29 @@
   LONGS_EQUAL(1, crashesOf({7, 0}));
 }
 
+// The worker lists the run as failed, and crashes a moment later.
+TEST(ATaskThatCrashesItsWorker, CountsWithARunThatHasJustFailed) {
+  Instance_.handle(patientJob());
+  Instance_.answerStart(OrderResult::Accepted);
+  Instance_.listRuns({}, {{1, {7, 0, 1}, RunEnd::Failed}});
+  crash(2);
+  LONGS_EQUAL(1, crashesOf({7, 0}));
+}
+
+TEST(ATaskThatCrashesItsWorker, DoesNotCountWithARunThatFailedLongBefore) {
+  Instance_.handle(Instance_.job());
+  Instance_.answerStart(OrderResult::Accepted);
+  Instance_.listRuns({}, {{1, {7, 0, 1}, RunEnd::Failed}});
+  Instance_.answerStart(OrderResult::Accepted, {7, 0, 2});
+  Instance_.listRuns({}, {{2, {7, 0, 2}, RunEnd::Failed}});
+  for (int Poll = 0; Poll < 60; ++Poll) {
+    Instance_.advance(20);
+    Instance_.listRuns({});
+  }
+  crash(2);
+  LONGS_EQUAL(0, crashesOf({7, 0}));
+}
+
 // A late order of a holder that is gone is listed as a run nobody here ordered.
 TEST(ATaskThatCrashesItsWorker, CountsWithARunOfAnotherHolder) {
   Instance_.listRuns({{9, 2, 1}});
@@ -209,3 +232,29 @@
   Instance_.handle(MessageReceived{{5}, CrashNews{{}, {{"y", 1}}}});
   expectCount<StartRun>(1, Instance_.handle(Instance_.job()));
 }
+
+// The holder was killed, and the worker crashed as well.
+TEST(ATaskThatHasCrashedWorkers, IsSuspectThoughTheHolderIsLost) {
+  WorkerReport Worker = InstanceFixture::worker("v");
+  Instance_.handle(MessageReceived{
+      {5}, WorkersHeld{{{.Report_ = Worker, .IsOpen_ = true}}, 0}});
+  Instance_.handle(Instance_.job(7, 1, 3));
+  Instance_.handle(InstanceDown{{5}});
+  Instance_.connectPeer(6);
+  const auto Sent = actionsOf<SendMessage>(Instance_.handle(
+      MessageReceived{{6}, CrashNews{{crashOf("v", {})}, {}}}));
+  // Two of the three tasks were placed there.
+  LONGS_EQUAL(2, Instance_.State_.Crashes_.ByTask_.size());
+  LONGS_EQUAL(1, std::count_if(Sent.begin(), Sent.end(), [](const auto &One) {
+                return std::holds_alternative<CrashNews>(One.Message_);
+              }));
+}
+
+TEST(ATaskThatHasCrashedWorkers, IsGivenUpWithItsTimeInsteadOfResubmitted) {
+  Instance_.handle(Instance_.job());
+  Instance_.answerStart(OrderResult::Accepted);
+  hear({crashOf("x", {{7, 0}}), crashOf("y", {{7, 0}})});
+  const auto Answers = actionsOf<AnswerJob>(Instance_.advance(2'100));
+  LONGS_EQUAL(1, Answers.size());
+  CHECK(Answers[0].Outcome_ == JobOutcome::Failed);
+}
