Keep crashes of workers in the store

Cause: what instances know of crashed workers is lost when all of them restart, so that a task which crashes its workers is counted from zero. Ages are by the store's clock. The writer removes an expired row, any instance one that is twice as old; a row that is removed earlier is reported as withdrawn. FleetDaemon carries out StoreCrash and ForgetCrash and raises CrashesRead.

--- a/coordination/marjorambend/src/Fleet/Crashes.cpp
+++ b/coordination/marjorambend/src/Fleet/Crashes.cpp
@@ -102,6 +102,8 @@
   for (const WorkerCrash &Crash : Read.Crashes_)
     recordCrash(Ctx.State_.Crashes_, Crash, Ctx.State_.Options_.Crashes_,
                 Ctx.Now_);
+  for (const WorkerIncarnation &Worker : Read.Withdrawn_)
+    withdrawCrash(Ctx.State_.Crashes_, Worker);
 }
 
 void sendOwnCrashes(FleetStepContext &Ctx, Incarnation To) {
--- a/coordination/marjorambend/src/Fleet/FleetEvents.h
+++ b/coordination/marjorambend/src/Fleet/FleetEvents.h
@@ -42,6 +42,7 @@
 /// \brief Crashes of workers that the store keeps were read.
 struct CrashesRead {
   std::vector<WorkerCrash> Crashes_;
+  std::vector<WorkerIncarnation> Withdrawn_; ///< Removed before they expired.
 };
 
 /// \brief The caller of a job has closed its connection.
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -79,6 +79,10 @@
       Requested.insert({Address, Port});
     D_.Links_.setPeerEndpoints(Requested);
   }
+  void operator()(const StoreCrash &A) const { D_.Store_.storeCrash(A.Crash_); }
+  void operator()(const ForgetCrash &A) const {
+    D_.Store_.forgetCrash(A.Worker_);
+  }
   void operator()(const LogDecision &A) const { D_.Log_.write(A); }
 };
 
@@ -99,6 +103,8 @@
                 handle(InstancesRead{std::move(Known)});
               },
           .OnConfigConfirmed_ = [this] { handle(ConfigConfirmed{}); },
+          .OnCrashes_ = [this](CrashesRead Read) { handle(std::move(Read)); },
+          .Clock_ = [this] { return sharedClock(StoreClock_, monotonicNow()); },
           .OnClock_ =
               [this](Milliseconds Time) {
                 updateSharedClock(StoreClock_, Time, monotonicNow());
@@ -151,7 +157,10 @@
       Workers_(WorkerClient_, {},
                [this](FleetEvent Event) { handle(std::move(Event)); }),
       Store_(Loop, StoreClient_,
-             {.Store_ = Settings.Store_, .Self_ = State_.Self_}, storeEvents()),
+             {.Store_ = Settings.Store_,
+              .Self_ = State_.Self_,
+              .Crashes_ = {.Retention_ = State_.Options_.Crashes_.Retention_}},
+             storeEvents()),
       Callers_(
           Loop, listenOn(Settings.Callers_),
           [this](HttpRequest &&R) { return onCaller(std::move(R)); },
