--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,6 +8,25 @@
 
 step() { printf '\n== %s\n' "$*"; }
 
+# Tests that KNOWN-RED.txt lists as "ctest: NAME", one name a line.
+known_red() { sed -n 's/^ *ctest: *//p' KNOWN-RED.txt; }
+
+# Runs all tests of a build. Those in KNOWN-RED.txt run last and may fail.
+run_tests() {
+  local build=$1 red name
+  red=$(known_red | sed 's/\./\\./g' | paste -sd '|')
+  ctest --test-dir "$build" --output-on-failure --timeout 300 -j 4 \
+    ${red:+-E "^($red)\$"}
+  for name in $(known_red); do
+    if ctest --test-dir "$build" --timeout 300 --no-tests=error \
+      -R "^${name//./\\.}\$" > "$build-known-red.log" 2>&1; then
+      echo "known red, but passes: $name"
+    else
+      echo "known red, fails: $name"
+    fi
+  done
+}
+
 step "packages"
 scripts/install-packages.sh
 
@@ -52,7 +71,7 @@
 if [ -s KNOWN-RED.txt ]; then cat KNOWN-RED.txt; else echo "none"; fi
 
 step "tests with sanitizers"
-ctest --test-dir "$BUILD-sanitize" --output-on-failure --timeout 300 -j 4
+run_tests "$BUILD-sanitize"
 
 step "the real programs, end to end, with sanitizers"
 scripts/end-to-end.sh "$BUILD-sanitize"
@@ -61,4 +80,4 @@
 scripts/end-to-end.sh "$BUILD"
 
 step "tests"
-ctest --test-dir "$BUILD" --output-on-failure --timeout 300 -j 4
+run_tests "$BUILD"
