--- a/coordination/test/Simulation/FleetSimulation.cpp
+++ b/coordination/test/Simulation/FleetSimulation.cpp
@@ -22,7 +22,6 @@
 static constexpr double ObjectiveStretch = 1.6;
 static constexpr double TargetLatency = 60;
 static constexpr double LateWorthShare = 0.2;
-static constexpr uint32_t MaxCallerAttempts = 3;
 static constexpr uint32_t FirstCpuShare = 620;
 
 std::vector<LoadKind> agenciaKinds(double Load) {
@@ -56,7 +55,8 @@
 }
 
 FleetSimulation::FleetSimulation(FleetSimulationOptions Options)
-    : Options_(std::move(Options)), Generator_(Options_.Seed_) {
+    : Options_(std::move(Options)), Generator_(Options_.Seed_),
+      Crashes_(Options_.Seed_ ^ 0xC2B2AE3D27D4EB4FULL) {
   for (uint32_t Centre = 0; Centre < Options_.DataCentres_; ++Centre) {
     const std::string Name = "dc" + std::to_string(Centre);
     for (uint32_t Index = 0; Index < Options_.InstancesPerDataCentre_; ++Index)
@@ -401,7 +401,8 @@
 
 void FleetSimulation::sendOrder(std::size_t Index, const WorkerTarget &To,
                                 std::function<void(SimWorker &)> Apply,
-                                std::function<void()> Unanswered) {
+                                std::function<void()> Unanswered,
+                                std::optional<int64_t> ApplyDelay) {
   SimWorker *Worker = findWorker(To.Id_);
   if (Worker == nullptr || !Worker->IsUp_ ||
       PartitionedWorkers_[{Index, To.Id_}]) {
@@ -413,17 +414,18 @@
     if (Reached != nullptr && Reached->IsUp_)
       Apply(*Reached);
   };
-  if (chance(Options_.DelayOrder_)) {
-    after(randomBetween(2'000, Options_.MaxApplyDelay_.Count_),
-          [this, DeliverOrder, Id = To.Id_,
-           OldIncarnation = Worker->Report_.Incarnation_] {
-            const SimWorker &Then = *findWorker(Id);
-            IsApplyingDelayedOrder_ = true;
-            IsBeforeAnyPoll_ = Then.Report_.Incarnation_ != OldIncarnation &&
-                               Then.PollsInIncarnation_ < 2;
-            DeliverOrder();
-            IsApplyingDelayedOrder_ = IsBeforeAnyPoll_ = false;
-          });
+  if (!ApplyDelay && chance(Options_.DelayOrder_))
+    ApplyDelay = randomBetween(2'000, Options_.MaxApplyDelay_.Count_);
+  if (ApplyDelay) {
+    after(*ApplyDelay, [this, DeliverOrder, Id = To.Id_,
+                        OldIncarnation = Worker->Report_.Incarnation_] {
+      const SimWorker &Then = *findWorker(Id);
+      IsApplyingDelayedOrder_ = true;
+      IsBeforeAnyPoll_ = Then.Report_.Incarnation_ != OldIncarnation &&
+                         Then.PollsInIncarnation_ < 2;
+      DeliverOrder();
+      IsApplyingDelayedOrder_ = IsBeforeAnyPoll_ = false;
+    });
     after(OrderTimeout, std::move(Unanswered));
     return;
   }
@@ -433,6 +435,7 @@
 
 void FleetSimulation::recordStart(SimWorker &Worker, const RunId &Run) {
   ++Result_.Starts_;
+  recordCrashingStart(Worker, Run);
   // Instances cannot prevent that a restarted worker carries out a late order
   // before the first call from a holder that knows of the restart; see
   // docs/FAULTS.md.
@@ -494,7 +497,7 @@
         else
           after(LocalDelay, [=] { Answer(Result, Clock); });
       },
-      [=] { Answer(WhenUnknown, std::nullopt); });
+      [=] { Answer(WhenUnknown, std::nullopt); }, delayStart(Start));
 }
 
 void FleetSimulation::performStop(std::size_t Index, const StopRun &Stop) {
@@ -695,7 +698,7 @@
 void FleetSimulation::resubmit(Caller &Requester) {
   if (Requester.IsFinished_)
     return;
-  if (Requester.Attempts_ >= MaxCallerAttempts) {
+  if (Requester.Attempts_ >= Options_.CallerAttempts_) {
     finishRequest(Requester, JobOutcome::MayHaveRun);
     return;
   }
@@ -717,7 +720,10 @@
   Nodes_[Index].Requests_.erase(Found);
   if (Answer.Outcome_ == JobOutcome::NotRun)
     ++Requester.NotRunAnswers_;
-  if (Answer.Outcome_ == JobOutcome::MayHaveRun)
+  const bool IsResubmitted =
+      Answer.Outcome_ == JobOutcome::MayHaveRun ||
+      (Answer.Outcome_ == JobOutcome::Failed && recordFailure(Requester));
+  if (IsResubmitted)
     resubmit(Requester);
   else
     finishRequest(Requester, Answer.Outcome_);
@@ -728,6 +734,7 @@
     return;
   Requester.IsFinished_ = true;
   Requester.FinishedAt_ = Now_;
+  Requester.Outcome_ = Outcome;
   const LoadKind &Kind = Options_.Kinds_[Requester.Kind_];
   KindResult &Totals = Result_.Kinds_[Kind.Name_];
   const double Mean =
@@ -936,14 +943,7 @@
   for (uint32_t Count = 0; Count < Options_.WorkerCrashes_; ++Count)
     at(randomTimeInLoad(),
        [this, Id = randomWorker(), Duration = randomBetween(200, 4'000)] {
-         SimWorker &Worker = *findWorker(Id);
-         if (!Worker.IsUp_)
-           return;
-         for (const SimRun &Run : Worker.Runs_)
-           RunningOn_.erase({Run.Id_.Job_, Run.Id_.Task_});
-         Worker.IsUp_ = false;
-         Worker.Polls_.clear();
-         after(Duration, [this, Id] { restart(*findWorker(Id), Now_); });
+         crashWorker(Id, Duration, CrashCause::Other);
        });
   for (uint32_t Count = 0; Count < Options_.Drains_; ++Count)
     at(randomTimeInLoad(), [this, Id = randomWorker()] {
@@ -1025,6 +1025,7 @@
   listWorkers();
   generateLoad();
   scheduleFaults();
+  scheduleCrashes();
   const std::function<void(const SimRun &, RunEnd)> NoteEnd =
       [this](const SimRun &Run, RunEnd) {
         RunningOn_.erase({Run.Id_.Job_, Run.Id_.Task_});
@@ -1042,6 +1043,7 @@
     Next.Call_();
   }
   checkFinalState();
+  checkCrashes();
   double Asked = 0;
   double Earned = 0;
   for (const auto &[Name, Kind] : Result_.Kinds_) {
--- a/coordination/test/Simulation/FleetSimulation.h
+++ b/coordination/test/Simulation/FleetSimulation.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_TEST_SIMULATION_FLEETSIMULATION_H
 #define MARJORAMBEND_TEST_SIMULATION_FLEETSIMULATION_H
 
+#include "Simulation/CrashFaults.h"
 #include "Simulation/SimWorker.h"
 
 #include <cstdint>
@@ -89,6 +90,8 @@
   double LoseAnswer_ = 0;  ///< Probability that an answer to a start is lost.
   double FailRun_ = 0.002; ///< Probability that a run fails.
   double LeaveEarly_ = 0;  ///< Probability that a caller leaves early.
+  uint32_t CallerAttempts_ = 3; ///< Most submissions of a job.
+  CrashFaults Crashes_;
   InjectedFleetBug InjectedBug_ = InjectedFleetBug::None;
   PlacerOptions Placer_;
 };
@@ -113,6 +116,7 @@
   double WorthShare_ = 0;
   /// Messages sent and received by each instance, by name.
   std::map<std::string, uint64_t> Messages_;
+  std::map<uint64_t, CrashingTask> CrashingTasks_; ///< By job.
 };
 
 /// \brief Simulates instances, workers, callers and faults in virtual time.
@@ -161,6 +165,7 @@
     uint32_t Attempts_ = 0;
     uint32_t NotRunAnswers_ = 0;
     Milliseconds FinishedAt_; ///< Outcome known, or caller gone.
+    std::optional<JobOutcome> Outcome_;
     double Work_ = 0;
   };
   struct ScheduledCall {
@@ -199,7 +204,8 @@
 
   void sendOrder(std::size_t Index, const WorkerTarget &To,
                  std::function<void(SimWorker &)> Apply,
-                 std::function<void()> Unanswered);
+                 std::function<void()> Unanswered,
+                 std::optional<int64_t> ApplyDelay = std::nullopt);
   void performStart(std::size_t Index, const StartRun &Start);
   void performStop(std::size_t Index, const StopRun &Stop);
   void performPoll(std::size_t Index, const PollWorker &Poll);
@@ -231,10 +237,27 @@
   void finishRequest(Caller &Requester, JobOutcome Outcome);
   bool mayStillRun(uint64_t Job) const;
   void checkFinalState();
+
+  enum class CrashCause : uint8_t { Task, Rack, Other };
+
+  int64_t randomCrashDelay(int64_t Min, int64_t Max);
+  void scheduleCrashes();
+  void labelRacks();
+  void scheduleRackCrashes();
+  void crashWorker(const std::string &Id, int64_t Duration, CrashCause Cause);
+  void recordCrash(const std::string &Id, const RunId &Run, CrashCause Cause);
+  void killHolders(const std::string &Worker);
+  void restartAllButOne();
+  std::optional<int64_t> delayStart(const StartRun &Start);
+  void recordCrashingStart(const SimWorker &Worker, const RunId &Run);
+  bool recordFailure(const Caller &Requester);
+  void checkCrashes();
+
   void reportViolation(const std::string &What);
 
   FleetSimulationOptions Options_;
   Random Generator_;
+  CrashRecord Crashes_;
   Milliseconds Now_;
   uint64_t NextOrder_ = 0;
   std::vector<ScheduledCall> Queue_; ///< A heap with the next call in front.
