Bound how long suspect tasks wait, and tell racks that fail from tasks that crash them

Change: a run counts under one incarnation; a rack has failed only if three of its workers crash without a task that has crashed another; the window is 2 s; a failed poll of a worker with a suspect task counts as a crash until it answers; suspect tasks avoid racks with fresh crashes, and each that is done lets one more run at once.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -201,6 +201,8 @@
   // Retries the first failure at once: it may be due to the connection alone.
   Hold.NextPollAt_ =
       Hold.FailedPolls_ == 1 ? Ctx.Now_ : Ctx.Now_ + Options.RetryDelay_;
+  if (Hold.Phase_ == HoldPhase::Open && hasSuspectRun(Ctx, Hold))
+    noteCrash(Ctx, Hold);
   if (Hold.Phase_ != HoldPhase::Open ||
       Hold.FailedPolls_ < Options.SuspectAfter_)
     return;
--- a/coordination/marjorambend/src/Fleet/CrashLedger.cpp
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.cpp
@@ -22,25 +22,39 @@
   eraseCrash(Ledger, Ledger.Crashes_.find(Ledger.ByAge_.begin()->second));
 }
 
-static bool isWithin(Milliseconds A, Milliseconds B, Milliseconds Window) {
-  return std::max(A, B) - std::min(A, B) <= Window;
+/// \brief Workers that have crashed in a rack at about the same time.
+struct RackCrashes {
+  std::set<std::string_view> Workers_;
+  /// Those without a task that has crashed another worker as well.
+  std::set<std::string_view> Unexplained_;
+};
+
+static bool isExplainedByTask(const CrashLedger &Ledger,
+                              const CrashLedger::Entry &Crash) {
+  return std::any_of(Crash.Tasks_.begin(), Crash.Tasks_.end(),
+                     [&Ledger](const TaskId &Task) {
+                       return Ledger.ByTask_.at(Task).size() > 1;
+                     });
 }
 
-// Workers that have crashed in the rack and at the time of a crash.
-static uint32_t countRackCrashes(const CrashLedger &Ledger,
+static RackCrashes crashesInRack(const CrashLedger &Ledger,
                                  const CrashLedger::Entry &Crash,
                                  const CrashOptions &Options) {
-  std::set<std::string_view> Workers;
+  RackCrashes Found;
   const auto First = Ledger.ByAge_.lower_bound(
       {Crash.NoticedAt_ - Options.RackWindow_, WorkerIncarnation{}});
   for (auto It = First; It != Ledger.ByAge_.end(); ++It) {
     const auto &[NoticedAt, Worker] = *It;
-    if (!isWithin(NoticedAt, Crash.NoticedAt_, Options.RackWindow_))
+    if (NoticedAt > Crash.NoticedAt_ + Options.RackWindow_)
       break;
-    if (Ledger.Crashes_.at(Worker).Rack_ == Crash.Rack_)
-      Workers.insert(Worker.Worker_);
+    const CrashLedger::Entry &Other = Ledger.Crashes_.at(Worker);
+    if (Other.Rack_ != Crash.Rack_)
+      continue;
+    Found.Workers_.insert(Worker.Worker_);
+    if (!isExplainedByTask(Ledger, Other))
+      Found.Unexplained_.insert(Worker.Worker_);
   }
-  return static_cast<uint32_t>(Workers.size());
+  return Found;
 }
 
 static bool hasRackFailed(const CrashLedger &Ledger,
@@ -48,9 +62,10 @@
                           const CrashOptions &Options) {
   if (Crash.Rack_.empty())
     return false;
-  const uint32_t Count = countRackCrashes(Ledger, Crash, Options);
-  return Count >= Options.MinRackCrashes_ &&
-         Count >= Options.RackShare_ * Crash.RackSize_;
+  const RackCrashes Found = crashesInRack(Ledger, Crash, Options);
+  return Found.Unexplained_.size() >= Options.MinRackCrashes_ &&
+         static_cast<double>(Found.Workers_.size()) >=
+             Options.RackShare_ * Crash.RackSize_;
 }
 
 // Crashes under a task, without those of a rack that has failed.
@@ -126,6 +141,17 @@
   return internal::countCrashes(Ledger, Task, Options) > 0;
 }
 
+std::set<std::string> recentlyCrashedRacks(const CrashLedger &Ledger,
+                                           const CrashOptions &Options,
+                                           Milliseconds Now) {
+  std::set<std::string> Racks;
+  for (auto It = Ledger.ByAge_.lower_bound(
+           {Now - Options.RackWindow_, WorkerIncarnation{}});
+       It != Ledger.ByAge_.end(); ++It)
+    Racks.insert(Ledger.Crashes_.at(It->second).Rack_);
+  return Racks;
+}
+
 bool exceedsCrashBudget(const CrashLedger &Ledger, const TaskId &Task,
                         const CrashOptions &Options) {
   const auto Found = Ledger.ByTask_.find(Task);
--- a/coordination/marjorambend/src/Fleet/CrashLedger.h
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.h
@@ -69,9 +69,9 @@
   /// The same, with those.
   uint32_t MaxCrashesOfAnyCause_ = 3;
   /// Crashes in one rack within this time may have a common cause.
-  Milliseconds RackWindow_{1'000};
+  Milliseconds RackWindow_{2'000};
   /// A rack has failed if this share of its workers crashes, and at least
-  /// MinRackCrashes_ of them.
+  /// MinRackCrashes_ of them without a task that has crashed another worker.
   double RackShare_ = 0.75;
   uint32_t MinRackCrashes_ = 3;
   /// Time after the failure of a run in which a crash of its worker is
@@ -128,6 +128,12 @@
 bool isSuspect(const CrashLedger &Ledger, const TaskId &Task,
                const CrashOptions &Options);
 
+/// \brief Racks in which a worker has crashed within
+/// CrashOptions::RackWindow_; others may have, unnoticed yet.
+std::set<std::string> recentlyCrashedRacks(const CrashLedger &Ledger,
+                                           const CrashOptions &Options,
+                                           Milliseconds Now);
+
 /// \brief Whether the task has crashed so many workers that it must not be
 /// started again.
 ///
--- a/coordination/marjorambend/src/Fleet/Crashes.cpp
+++ b/coordination/marjorambend/src/Fleet/Crashes.cpp
@@ -84,16 +84,29 @@
   Hold.FailedTasks_.emplace_back(Task, Ctx.Now_);
 }
 
+bool hasSuspectRun(const FleetStepContext &Ctx, const WorkerHold &Hold) {
+  return std::any_of(Hold.Runs_.begin(), Hold.Runs_.end(),
+                     [&Ctx](const auto &Entry) {
+                       return isSuspect(Ctx.State_.Crashes_,
+                                        {Entry.first.Job_, Entry.first.Task_},
+                                        Ctx.State_.Options_.Crashes_);
+                     });
+}
+
 // Tasks that may have run when the worker crashed.
 static std::vector<TaskId>
-tasksUnderCrash(const FleetStepContext &Ctx, const WorkerHold &Hold,
+tasksUnderCrash(const FleetStepContext &Ctx, WorkerHold &Hold,
                 const std::vector<ListedRun> &Survivors) {
   std::vector<TaskId> Tasks;
-  for (const auto &[Id, Run] : Hold.Runs_) {
+  for (auto &[Id, Run] : Hold.Runs_) {
     const bool HasSurvived = std::any_of(
         Survivors.begin(), Survivors.end(),
         [&Id = Id](const ListedRun &One) { return One.Run_ == Id; });
-    if (!HasSurvived)
+    if (HasSurvived)
+      continue;
+    if (!Run.CrashedIncarnation_)
+      Run.CrashedIncarnation_ = Hold.Report_.Incarnation_;
+    if (Run.CrashedIncarnation_ == Hold.Report_.Incarnation_)
       Tasks.push_back({Id.Job_, Id.Task_});
   }
   for (const RunId &Id : Hold.UnknownRuns_)
@@ -105,7 +118,7 @@
   return Tasks;
 }
 
-void noteCrash(FleetStepContext &Ctx, const WorkerHold &Hold,
+void noteCrash(FleetStepContext &Ctx, WorkerHold &Hold,
                const std::vector<ListedRun> &Survivors) {
   // A worker that drains ends all runs when it leaves.
   if (Hold.Report_.IsDraining_)
@@ -128,13 +141,15 @@
   addOrphanedTasks(Ctx, Crash);
 }
 
-void withdrawCrashIfAlive(FleetStepContext &Ctx, const WorkerHold &Hold) {
+void withdrawCrashIfAlive(FleetStepContext &Ctx, WorkerHold &Hold) {
   const WorkerIncarnation Worker{Hold.Report_.Id_, Hold.Report_.Incarnation_};
   if (!withdrawCrash(Ctx.State_.Crashes_, Worker))
     return;
   log(Ctx, "crash_withdrawn", 0,
       {{"worker", Worker.Worker_},
        {"life", std::to_string(Worker.Incarnation_)}});
+  for (auto &[Id, Run] : Hold.Runs_)
+    Run.CrashedIncarnation_.reset();
   sendToMembers(Ctx, CrashNews{.Withdrawn_ = {Worker}});
   Ctx.Out_.push_back(ForgetCrash{Worker});
 }
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -57,13 +57,16 @@
 /// @{
 /// Records that the worker has crashed, or is silent as if it had, under its
 /// runs but for \p Survivors; sends this to all instances.
-void noteCrash(FleetStepContext &Ctx, const WorkerHold &Hold,
+void noteCrash(FleetStepContext &Ctx, WorkerHold &Hold,
                const std::vector<ListedRun> &Survivors = {});
+/// Whether the worker runs a task under which another worker has crashed: a
+/// single failed poll is a likely crash then.
+bool hasSuspectRun(const FleetStepContext &Ctx, const WorkerHold &Hold);
 /// Remembers a failed run for a crash that may follow.
 void noteFailedTask(const FleetStepContext &Ctx, WorkerHold &Hold,
                     const TaskId &Task);
 /// Withdraws the crash of a worker that was only silent.
-void withdrawCrashIfAlive(FleetStepContext &Ctx, const WorkerHold &Hold);
+void withdrawCrashIfAlive(FleetStepContext &Ctx, WorkerHold &Hold);
 /// @}
 
 /// Claiming, polling and losing a worker; see Claims.cpp.
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -148,21 +148,25 @@
                    State.Options_.Crashes_);
 }
 
-// Whether a suspect task of the job is running, or is about to.
-static bool hasActiveSuspect(const FleetInstance &State, const OriginJob &Job) {
+// Number of further suspect tasks of the job that may run now. One may at
+// first, so that a job exposes one worker at a time; each that is done allows
+// one more at once.
+static int64_t countAllowedSuspects(const FleetInstance &State,
+                                    const OriginJob &Job) {
+  int64_t Allowed = 1;
   for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
     const OriginTask &Task = Job.Tasks_[Index];
+    if (!isSuspect(State, Job, Index))
+      continue;
     const bool IsActive =
         Task.Phase_ == OriginTaskPhase::Dispatched ||
         (Task.Phase_ == OriginTaskPhase::Waiting && !Task.IsHeldBack_);
-    if (IsActive && isSuspect(State, Job, Index))
-      return true;
+    Allowed += Task.Phase_ == OriginTaskPhase::Done ? 1 : 0;
+    Allowed -= IsActive ? 1 : 0;
   }
-  return false;
+  return Allowed;
 }
 
-// Suspect tasks of a job run one after the other, so that a job exposes one
-// worker at a time.
 void requestWorkers(FleetStepContext &Ctx, OriginJob &Job,
                     const std::vector<uint32_t> &Tasks) {
   Job.Placer_ = Ctx.State_.Placer_;
@@ -176,24 +180,30 @@
   if (!Others.empty())
     sendPlaceRequest(Ctx, Job, std::move(Others), false);
   if (!Suspects.empty())
-    requestNextSuspect(Ctx, Job);
+    requestHeldBackTasks(Ctx, Job);
 }
 
-void requestNextSuspect(FleetStepContext &Ctx, OriginJob &Job) {
-  if (hasActiveSuspect(Ctx.State_, Job))
-    return;
-  const auto Next =
-      std::find_if(Job.Tasks_.begin(), Job.Tasks_.end(),
-                   [](const OriginTask &Task) { return Task.IsHeldBack_; });
-  if (Next == Job.Tasks_.end())
+void requestHeldBackTasks(FleetStepContext &Ctx, OriginJob &Job) {
+  const bool HasHeldBack =
+      std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
+                  [](const OriginTask &Task) { return Task.IsHeldBack_; });
+  if (!HasHeldBack)
     return;
-  Next->IsHeldBack_ = false;
-  const auto Task = static_cast<uint32_t>(Next - Job.Tasks_.begin());
-  log(Ctx, "task_isolated", Job.Submission_.Id_,
-      {{"task", std::to_string(Task)},
-       {"attempt", std::to_string(Next->Attempt_ + 1)}});
-  increment(Ctx.State_.Counters_, Counter::TasksIsolated);
-  sendPlaceRequest(Ctx, Job, {Task}, true);
+  const int64_t Allowed = countAllowedSuspects(Ctx.State_, Job);
+  std::vector<uint32_t> Tasks;
+  for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
+    OriginTask &Task = Job.Tasks_[Index];
+    if (!Task.IsHeldBack_ || static_cast<int64_t>(Tasks.size()) >= Allowed)
+      continue;
+    Task.IsHeldBack_ = false;
+    Tasks.push_back(Index);
+    log(Ctx, "task_isolated", Job.Submission_.Id_,
+        {{"task", std::to_string(Index)},
+         {"attempt", std::to_string(Task.Attempt_ + 1)}});
+    increment(Ctx.State_.Counters_, Counter::TasksIsolated);
+  }
+  if (!Tasks.empty())
+    sendPlaceRequest(Ctx, Job, std::move(Tasks), true);
 }
 
 std::vector<uint32_t> waitingTasks(const OriginJob &Job) {
@@ -528,14 +538,14 @@
   if (answerIfDecided(Ctx, *Job, Index, Ended.End_))
     return;
   if (Task.Phase_ == OriginTaskPhase::Done) {
-    requestNextSuspect(Ctx, *Job);
+    requestHeldBackTasks(Ctx, *Job);
     return;
   }
   if (Ended.End_ == RunEnd::Superseded)
     Task.Attempt_ += SkippedAttempts;
   Task.Phase_ = OriginTaskPhase::Waiting;
   requestWorkers(Ctx, *Job, {Index});
-  requestNextSuspect(Ctx, *Job);
+  requestHeldBackTasks(Ctx, *Job);
 }
 
 void expireJobs(FleetStepContext &Ctx) {
--- a/coordination/marjorambend/src/Fleet/OriginJob.h
+++ b/coordination/marjorambend/src/Fleet/OriginJob.h
@@ -25,7 +25,7 @@
   std::string Worker_;
   Incarnation Holder_;
   Incarnation Placer_; ///< The placer with its reservation.
-  /// It waits for another suspect task of the job; no worker is requested yet.
+  /// It waits for other suspect tasks of the job; no worker is requested yet.
   bool IsHeldBack_ = false;
 };
 
--- a/coordination/marjorambend/src/Fleet/OriginStep.h
+++ b/coordination/marjorambend/src/Fleet/OriginStep.h
@@ -15,14 +15,14 @@
 void giveUpJob(FleetStepContext &Ctx, OriginJob &Job, std::string_view Why,
                Milliseconds RetryAfter);
 
-/// \brief Asks the placer for workers for these tasks, and holds suspect ones
-/// back while another suspect task of the job is active.
+/// \brief Asks the placer for workers for these tasks, but holds suspect ones
+/// back until few of the job are active.
 void requestWorkers(FleetStepContext &Ctx, OriginJob &Job,
                     const std::vector<uint32_t> &Tasks);
 
-/// \brief Asks the placer for a worker for the next suspect task, unless one
-/// is active.
-void requestNextSuspect(FleetStepContext &Ctx, OriginJob &Job);
+/// \brief Asks the placer for workers for as many of the suspect tasks that
+/// are held back as may run now.
+void requestHeldBackTasks(FleetStepContext &Ctx, OriginJob &Job);
 
 /// \brief Returns the tasks for which workers were requested.
 std::vector<uint32_t> waitingTasks(const OriginJob &Job);
--- a/coordination/marjorambend/src/Fleet/Placement.cpp
+++ b/coordination/marjorambend/src/Fleet/Placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -229,14 +230,19 @@
 
 std::map<std::string, PlacerWorker>::iterator
 chooseIsolatedWorker(PlacerState &Placer, const PlacerJob &Job,
-                     Milliseconds Now) {
+                     const std::set<std::string> &Avoid, Milliseconds Now) {
   const TaskRequirements Requirements{.Job_ = Job};
   auto Best = Placer.Workers_.end();
   for (auto It = Placer.Workers_.begin(); It != Placer.Workers_.end(); ++It) {
     if (!internal::canStartNow(It->second, It->first, Requirements, Now))
       continue;
-    const auto Rank = [](const PlacerWorker &Worker) {
-      return std::pair{Worker.Reserved_.MilliCores_, Worker.Held_.Slowness_};
+    const auto Rank = [&Avoid](const PlacerWorker &Worker) {
+      const auto &Labels = Worker.Held_.Report_.Labels_;
+      const bool IsAvoided = std::any_of(
+          Labels.begin(), Labels.end(),
+          [&Avoid](const std::string &Label) { return Avoid.contains(Label); });
+      return std::tuple{IsAvoided, Worker.Reserved_.MilliCores_,
+                        Worker.Held_.Slowness_};
     };
     if (Best == Placer.Workers_.end() || Rank(It->second) < Rank(Best->second))
       Best = It;
--- a/coordination/marjorambend/src/Fleet/Placement.h
+++ b/coordination/marjorambend/src/Fleet/Placement.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace marjorambend {
@@ -37,12 +38,12 @@
              const PlacerOptions &Options, Milliseconds Now);
 
 /// \brief Chooses the eligible worker with the least other work, for a task
-/// that may crash it.
+/// that may crash it, if possible with none of the labels \p Avoid.
 ///
 /// \returns the worker's entry, or the end of the workers if none has room.
 std::map<std::string, PlacerWorker>::iterator
 chooseIsolatedWorker(PlacerState &Placer, const PlacerJob &Job,
-                     Milliseconds Now);
+                     const std::set<std::string> &Avoid, Milliseconds Now);
 
 /// \brief Bucket of workers of similar slowness; higher buckets are slower.
 int slownessBucket(double Slowness);
--- a/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
@@ -180,6 +180,14 @@
          static_cast<double>(Job.Request_.Estimate_.Count_);
 }
 
+static std::map<std::string, PlacerWorker>::iterator
+chooseIsolatedWorker(FleetStepContext &Ctx, const PlacerJob &Job) {
+  const FleetInstance &State = Ctx.State_;
+  const std::set<std::string> Racks =
+      recentlyCrashedRacks(State.Crashes_, State.Options_.Crashes_, Ctx.Now_);
+  return chooseIsolatedWorker(Ctx.State_.Placing_, Job, Racks, Ctx.Now_);
+}
+
 static void placeJob(FleetStepContext &Ctx, PlacerJob &Job) {
   PlacerState &Placer = Ctx.State_.Placing_;
   TaskRequirements Requirements{.Job_ = Job,
@@ -191,7 +199,7 @@
   while (!Tasks.empty()) {
     const bool IsSuspect = Job.Suspects_.contains(Tasks.front());
     const auto Chosen =
-        IsSuspect ? chooseIsolatedWorker(Placer, Job, Ctx.Now_)
+        IsSuspect ? chooseIsolatedWorker(Ctx, Job)
                   : chooseWorker(Placer, Requirements,
                                  Ctx.State_.Options_.Placer_, Ctx.Now_);
     if (Chosen == Placer.Workers_.end())
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -38,6 +38,9 @@
   /// of the worker may accept it.
   bool IsStartUnconfirmed_ = true;
   bool IsRepeated_ = false; ///< The start order was sent a second time.
+  /// Incarnation whose crash counts for this run; not set if there is none. An
+  /// unconfirmed start can outlast several, but is carried out once.
+  std::optional<int64_t> CrashedIncarnation_;
   /// Number of the first poll that was sent after the worker's last answer
   /// about the run; 0 if there is none. A run that this poll or a later one
   /// does not list has ended.
