--- a/coordination/test/Simulation/CrashFaults.h
+++ b/coordination/test/Simulation/CrashFaults.h
@@ -59,6 +59,12 @@
   uint32_t Other_ = 0;
 };
 
+/// \brief A crash in the platform's store.
+struct StoredCrash {
+  WorkerCrash Crash_; ///< Its age is the one when it was stored.
+  Milliseconds StoredAt_;
+};
+
 /// \brief What a simulation knows of crashes.
 struct CrashRecord {
   Random Generator_;
@@ -68,6 +74,7 @@
   /// left to complete.
   std::set<uint64_t> InterruptedJobs_;
   bool HasRestartedInstances_ = false;
+  std::map<WorkerIncarnation, StoredCrash> Stored_; ///< In the store.
 
   explicit CrashRecord(uint64_t Seed) : Generator_(Seed) {}
 };
--- a/coordination/test/Simulation/CrashingTasks.cpp
+++ b/coordination/test/Simulation/CrashingTasks.cpp
@@ -164,6 +164,19 @@
   checkScenario("shared");
 }
 
+TEST(TasksThatCrashWorkers_, AreFoundWhenCrashesAreNotCounted) {
+  for (const char *Name :
+       {"alone", "resubmissions", "holders", "restarts", "late", "any"}) {
+    bool IsDetected = false;
+    for (uint64_t Seed = 1; Seed <= 10 && !IsDetected; ++Seed) {
+      FleetSimulationOptions Options = Scenarios.at(Name)(Seed);
+      Options.InjectedBug_ = InjectedFleetBug::IgnoreCrashes;
+      IsDetected = !violationsIn(Options).empty();
+    }
+    CHECK(IsDetected);
+  }
+}
+
 TEST_GROUP(ARackThatDies_){};
 
 TEST(ARackThatDies_, DoesNotCondemnItsTasks) { checkScenario("racks"); }
--- a/coordination/test/Simulation/FleetSimulation.cpp
+++ b/coordination/test/Simulation/FleetSimulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace marjorambend::test {
 
@@ -125,6 +126,9 @@
   Options.Placer_ = Options_.Placer_;
   if (Options_.InjectedBug_ == InjectedFleetBug::LongLeases)
     Options.Holder_.Lease_ = Options.Holder_.MaxLease_ = {10'000};
+  if (Options_.InjectedBug_ == InjectedFleetBug::IgnoreCrashes)
+    Options.Crashes_.MaxCrashes_ = Options.Crashes_.MaxCrashesOfAnyCause_ =
+        std::numeric_limits<uint32_t>::max();
   Starting.State_ = std::make_unique<FleetInstance>(
       makeFleetInstance(std::move(Options), Generator_()));
   Starting.State_->Self_.Address_ = Starting.Name_;
@@ -193,6 +197,7 @@
   for (const Node &One : Nodes_)
     Read.Instances_.push_back(One.Info_);
   deliver(Index, Epoch, std::move(Read));
+  readCrashes(Index, Epoch);
 }
 
 bool FleetSimulation::wantsLink(const Node &By, const Node &Other) const {
@@ -387,6 +392,10 @@
       performPoll(Index, *Poll);
     } else if (const auto *Answer = std::get_if<AnswerJob>(&One)) {
       handleAnswer(Index, *Answer);
+    } else if (const auto *Store = std::get_if<StoreCrash>(&One)) {
+      storeCrash(Index, Nodes_[Index].Epoch_, Store->Crash_);
+    } else if (const auto *Forget = std::get_if<ForgetCrash>(&One)) {
+      forgetCrash(Index, Nodes_[Index].Epoch_, Forget->Worker_);
     } else if (const auto *Links = std::get_if<LinkInstances>(&One)) {
       Nodes_[Index].WantedLinks_ = Links->Addresses_;
       connectWanted(Index);
--- a/coordination/test/Simulation/FleetSimulation.h
+++ b/coordination/test/Simulation/FleetSimulation.h
@@ -45,7 +45,8 @@
   TreatUnknownStartAsNotRun, ///< An unanswered start counts as not delivered.
   HideDrains,                ///< The worker list omits the draining state.
   ReportAllAsNotRun,         ///< Failed jobs are always answered as not run.
-  LongLeases                 ///< Leases outlast the resubmission delay.
+  LongLeases,                ///< Leases outlast the resubmission delay.
+  IgnoreCrashes              ///< No number of crashes makes a task fail.
 };
 
 /// \brief Load, size and faults of a fleet simulation.
@@ -253,6 +254,10 @@
   bool recordAnswer(const Caller &Requester, JobOutcome Outcome);
   void recordFailure(const Caller &Requester);
   void checkCrashes();
+  void storeCrash(std::size_t Index, uint64_t Epoch, const WorkerCrash &Crash);
+  void forgetCrash(std::size_t Index, uint64_t Epoch,
+                   const WorkerIncarnation &Worker);
+  void readCrashes(std::size_t Index, uint64_t Epoch);
 
   void reportViolation(const std::string &What);
 
--- a/coordination/test/Simulation/FleetSimulationCrashes.cpp
+++ b/coordination/test/Simulation/FleetSimulationCrashes.cpp
@@ -16,6 +16,8 @@
 static constexpr int64_t MaxOutsideCrashDelay = 300;
 // A holder polls a restarted worker within this time.
 static constexpr int64_t MaxEarlyDelivery = 150;
+static constexpr int64_t StoreWriteDelay = 250; ///< Writes are batched.
+static constexpr int64_t StoreReadDelay = 100;
 // Crashes after which the users count further starts, and their bound.
 static constexpr uint32_t CountedCrashes = 3;
 static constexpr uint32_t MaxStartsAfterCounted = 2;
@@ -259,6 +261,60 @@
                   ", which crashes no workers, was answered as failed");
 }
 
+// Writes that cannot reach the store are repeated while the instance runs.
+void FleetSimulation::storeCrash(std::size_t Index, uint64_t Epoch,
+                                 const WorkerCrash &Crash) {
+  after(StoreWriteDelay, [this, Index, Epoch, Crash] {
+    if (Nodes_[Index].Epoch_ != Epoch)
+      return;
+    if (isListUnavailableIn(Nodes_[Index].DataCentre_)) {
+      storeCrash(Index, Epoch, Crash);
+      return;
+    }
+    const auto [Row, IsNew] =
+        Crashes_.Stored_.try_emplace(Crash.Worker_, StoredCrash{Crash, Now_});
+    std::vector<TaskId> &Tasks = Row->second.Crash_.Tasks_;
+    if (!IsNew)
+      Tasks.insert(Tasks.end(), Crash.Tasks_.begin(), Crash.Tasks_.end());
+    for (std::size_t Reader = 0; Reader < Nodes_.size(); ++Reader)
+      after(StoreReadDelay,
+            [this, Reader, ReaderEpoch = Nodes_[Reader].Epoch_] {
+              readCrashes(Reader, ReaderEpoch);
+            });
+  });
+}
+
+void FleetSimulation::forgetCrash(std::size_t Index, uint64_t Epoch,
+                                  const WorkerIncarnation &Worker) {
+  after(StoreWriteDelay, [this, Index, Epoch, Worker] {
+    if (Nodes_[Index].Epoch_ != Epoch)
+      return;
+    if (isListUnavailableIn(Nodes_[Index].DataCentre_)) {
+      forgetCrash(Index, Epoch, Worker);
+      return;
+    }
+    Crashes_.Stored_.erase(Worker);
+    for (std::size_t Reader = 0; Reader < Nodes_.size(); ++Reader) {
+      if (!isListUnavailableIn(Nodes_[Reader].DataCentre_))
+        deliver(Reader, Nodes_[Reader].Epoch_,
+                CrashesRead{.Withdrawn_ = {Worker}});
+    }
+  });
+}
+
+void FleetSimulation::readCrashes(std::size_t Index, uint64_t Epoch) {
+  if (Nodes_[Index].Epoch_ != Epoch ||
+      isListUnavailableIn(Nodes_[Index].DataCentre_))
+    return;
+  CrashesRead Read;
+  for (const auto &[Worker, Stored] : Crashes_.Stored_) {
+    Read.Crashes_.push_back(Stored.Crash_);
+    Read.Crashes_.back().Age_ = Stored.Crash_.Age_ + (Now_ - Stored.StoredAt_);
+  }
+  if (!Read.Crashes_.empty())
+    deliver(Index, Epoch, std::move(Read));
+}
+
 void FleetSimulation::checkCrashes() {
   for (const auto &[Job, Task] : Crashes_.CrashingTasks_) {
     Result_.CrashingTasks_[Job] = Task;
