Count a rack as failed unless its tasks crash workers of another rack

Cause: a rack that dies twice under the same tasks looked like tasks that crash workers, since both crashes are theirs. Change: a crash is explained by a task only if that task has also crashed a worker of another rack.

--- a/coordination/marjorambend/src/Fleet/CrashLedger.cpp
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.cpp
@@ -25,16 +25,20 @@
 /// \brief Workers that have crashed in a rack at about the same time.
 struct RackCrashes {
   std::set<std::string_view> Workers_;
-  /// Those without a task that has crashed another worker as well.
+  /// Those without a task that has also crashed a worker of another rack.
   std::set<std::string_view> Unexplained_;
 };
 
 static bool isExplainedByTask(const CrashLedger &Ledger,
                               const CrashLedger::Entry &Crash) {
-  return std::any_of(Crash.Tasks_.begin(), Crash.Tasks_.end(),
-                     [&Ledger](const TaskId &Task) {
-                       return Ledger.ByTask_.at(Task).size() > 1;
-                     });
+  const auto IsInOtherRack = [&](const WorkerIncarnation &Worker) {
+    return Ledger.Crashes_.at(Worker).Rack_ != Crash.Rack_;
+  };
+  return std::any_of(
+      Crash.Tasks_.begin(), Crash.Tasks_.end(), [&](const TaskId &Task) {
+        const auto &Workers = Ledger.ByTask_.at(Task);
+        return std::any_of(Workers.begin(), Workers.end(), IsInOtherRack);
+      });
 }
 
 static RackCrashes crashesInRack(const CrashLedger &Ledger,
--- a/coordination/marjorambend/src/Fleet/CrashLedger.h
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.h
@@ -71,7 +71,8 @@
   /// Crashes in one rack within this time may have a common cause.
   Milliseconds RackWindow_{2'000};
   /// A rack has failed if this share of its workers crashes, and at least
-  /// MinRackCrashes_ of them without a task that has crashed another worker.
+  /// MinRackCrashes_ of them without a task that has crashed workers of another
+  /// rack.
   double RackShare_ = 0.75;
   uint32_t MinRackCrashes_ = 3;
   /// Time after the failure of a run in which a crash of its worker is
