--- a/coordination/marjorambend/src/Fleet/FleetActions.h
+++ b/coordination/marjorambend/src/Fleet/FleetActions.h
@@ -87,6 +87,17 @@
   std::set<LinkAddress> Addresses_;
 };
 
+/// \brief Keep a crash in the platform's store, so that it outlasts all
+/// instances.
+struct StoreCrash {
+  WorkerCrash Crash_;
+};
+
+/// \brief Remove a crash from the platform's store: the worker was only silent.
+struct ForgetCrash {
+  WorkerIncarnation Worker_;
+};
+
 /// \brief One field of a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
@@ -99,9 +110,9 @@
 };
 
 /// \brief All actions that an instance of the fleet can request.
-using FleetAction =
-    std::variant<AnswerJob, StartRun, StopRun, PollWorker, SendMessage,
-                 DecodeConfigText, LinkInstances, LogDecision>;
+using FleetAction = std::variant<AnswerJob, StartRun, StopRun, PollWorker,
+                                 SendMessage, DecodeConfigText, LinkInstances,
+                                 StoreCrash, ForgetCrash, LogDecision>;
 
 /// \brief Actions in the order in which they are to be done.
 using FleetActions = std::vector<FleetAction>;
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -71,6 +71,19 @@
 void sendPaces(FleetStepContext &Ctx, PaceUpdate Which);
 /// @}
 
+/// Crashes of workers; see Crashes.cpp.
+/// @{
+void handleCrashNews(FleetStepContext &Ctx, const CrashNews &News);
+void applyStoredCrashes(FleetStepContext &Ctx, const CrashesRead &Read);
+/// Sends the crashes that were noticed here.
+void sendOwnCrashes(FleetStepContext &Ctx, Incarnation To);
+/// Remembers that the run of a task was lost with the holder of its worker.
+void addOrphanedRun(FleetStepContext &Ctx, const TaskId &Task,
+                    const std::string &Worker);
+/// Removes crashes and orphaned runs that are too old.
+void expireCrashRecords(FleetStepContext &Ctx);
+/// @}
+
 /// Worker list and configuration from the platform's store; see News.cpp.
 /// @{
 void applyConfig(FleetStepContext &Ctx, ConfigRead Read);
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -77,18 +77,52 @@
     removeJob(Ctx, Job);
 }
 
+// Tasks of a job under which workers have crashed too often.
+static std::vector<uint32_t> tasksOverCrashBudget(const FleetInstance &State,
+                                                  uint64_t Job) {
+  const CrashLedger &Ledger = State.Crashes_;
+  std::vector<uint32_t> Tasks;
+  for (auto It = Ledger.ByTask_.lower_bound({Job, 0});
+       It != Ledger.ByTask_.end() && It->first.Job_ == Job; ++It) {
+    if (exceedsCrashBudget(Ledger, It->first, State.Options_.Crashes_))
+      Tasks.push_back(It->first.Task_);
+  }
+  return Tasks;
+}
+
+static bool exceedsCrashBudget(const FleetInstance &State,
+                               const OriginJob &Job) {
+  const std::vector<uint32_t> Tasks =
+      tasksOverCrashBudget(State, Job.Submission_.Id_);
+  return std::any_of(Tasks.begin(), Tasks.end(), [&Job](uint32_t Task) {
+    return Task < Job.Tasks_.size() &&
+           Job.Tasks_[Task].Phase_ != OriginTaskPhase::Done;
+  });
+}
+
+// A task that crashes its workers can't be done.
+static void failCrashingJob(FleetStepContext &Ctx, OriginJob &Job) {
+  increment(Ctx.State_.Counters_, Counter::JobsCrashing);
+  answerJob(Ctx, Job, JobOutcome::Failed, "a task crashes its workers");
+  stopJob(Ctx, Job);
+}
+
 void giveUpJob(FleetStepContext &Ctx, OriginJob &Job, std::string_view Why,
                Milliseconds RetryAfter) {
+  // Its caller would only resubmit it.
+  if (exceedsCrashBudget(Ctx.State_, Job)) {
+    failCrashingJob(Ctx, Job);
+    return;
+  }
   const JobOutcome Outcome =
       mayHaveRun(Job) ? JobOutcome::MayHaveRun : JobOutcome::NotRun;
   answerJob(Ctx, Job, Outcome, Why, RetryAfter);
   stopJob(Ctx, Job);
 }
 
-void requestWorkers(FleetStepContext &Ctx, OriginJob &Job,
-                    std::vector<uint32_t> Tasks) {
+static void sendPlaceRequest(FleetStepContext &Ctx, OriginJob &Job,
+                             std::vector<uint32_t> Tasks, bool IsSuspect) {
   const JobSubmission &Submission = Job.Submission_;
-  Job.Placer_ = Ctx.State_.Placer_;
   sendMessage(Ctx, Job.Placer_,
               PlaceRequest{.Job_ = Job.Number_,
                            .Id_ = Submission.Id_,
@@ -104,13 +138,79 @@
                            .DataRack_ = Submission.DataRack_,
                            .MaxPerWorker_ = Submission.MaxPerWorker_,
                            .Avoid_ = Job.UnreachableHolders_,
-                           .IsStarted_ = mayHaveRun(Job)});
+                           .IsStarted_ = mayHaveRun(Job),
+                           .IsSuspect_ = IsSuspect});
+}
+
+static bool isSuspect(const FleetInstance &State, const OriginJob &Job,
+                      uint32_t Task) {
+  return isSuspect(State.Crashes_, {Job.Submission_.Id_, Task},
+                   State.Options_.Crashes_);
+}
+
+// Number of further suspect tasks of the job that may run now. One may at
+// first, so that a job exposes one worker at a time; each that is done allows
+// one more at once.
+static int64_t countAllowedSuspects(const FleetInstance &State,
+                                    const OriginJob &Job) {
+  int64_t Allowed = 1;
+  for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
+    const OriginTask &Task = Job.Tasks_[Index];
+    if (!isSuspect(State, Job, Index))
+      continue;
+    const bool IsActive =
+        Task.Phase_ == OriginTaskPhase::Dispatched ||
+        (Task.Phase_ == OriginTaskPhase::Waiting && !Task.IsHeldBack_);
+    Allowed += Task.Phase_ == OriginTaskPhase::Done ? 1 : 0;
+    Allowed -= IsActive ? 1 : 0;
+  }
+  return Allowed;
+}
+
+void requestWorkers(FleetStepContext &Ctx, OriginJob &Job,
+                    const std::vector<uint32_t> &Tasks) {
+  Job.Placer_ = Ctx.State_.Placer_;
+  std::vector<uint32_t> Suspects;
+  std::vector<uint32_t> Others;
+  for (const uint32_t Task : Tasks) {
+    const bool IsSuspectTask = isSuspect(Ctx.State_, Job, Task);
+    (IsSuspectTask ? Suspects : Others).push_back(Task);
+    Job.Tasks_[Task].IsHeldBack_ = IsSuspectTask;
+  }
+  if (!Others.empty())
+    sendPlaceRequest(Ctx, Job, std::move(Others), false);
+  if (!Suspects.empty())
+    requestHeldBackTasks(Ctx, Job);
+}
+
+void requestHeldBackTasks(FleetStepContext &Ctx, OriginJob &Job) {
+  const bool HasHeldBack =
+      std::any_of(Job.Tasks_.begin(), Job.Tasks_.end(),
+                  [](const OriginTask &Task) { return Task.IsHeldBack_; });
+  if (!HasHeldBack)
+    return;
+  const int64_t Allowed = countAllowedSuspects(Ctx.State_, Job);
+  std::vector<uint32_t> Tasks;
+  for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
+    OriginTask &Task = Job.Tasks_[Index];
+    if (!Task.IsHeldBack_ || static_cast<int64_t>(Tasks.size()) >= Allowed)
+      continue;
+    Task.IsHeldBack_ = false;
+    Tasks.push_back(Index);
+    log(Ctx, "task_isolated", Job.Submission_.Id_,
+        {{"task", std::to_string(Index)},
+         {"attempt", std::to_string(Task.Attempt_ + 1)}});
+    increment(Ctx.State_.Counters_, Counter::TasksIsolated);
+  }
+  if (!Tasks.empty())
+    sendPlaceRequest(Ctx, Job, std::move(Tasks), true);
 }
 
 std::vector<uint32_t> waitingTasks(const OriginJob &Job) {
   std::vector<uint32_t> Waiting;
   for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
-    if (Job.Tasks_[Index].Phase_ == OriginTaskPhase::Waiting)
+    const OriginTask &Task = Job.Tasks_[Index];
+    if (Task.Phase_ == OriginTaskPhase::Waiting && !Task.IsHeldBack_)
       Waiting.push_back(Index);
   }
   return Waiting;
@@ -203,6 +303,12 @@
   }
   if (joinJob(Ctx, Submission))
     return;
+  if (!tasksOverCrashBudget(State, Submission.Id_).empty()) {
+    increment(State.Counters_, Counter::JobsCrashing);
+    rejectSubmission(Ctx, Submission, JobOutcome::Failed,
+                     "a task crashes its workers");
+    return;
+  }
   const uint64_t Number = State.NextJobNumber_++;
   OriginJob &Job = State.Jobs_[Number];
   Job.Number_ = Number;
@@ -337,6 +443,12 @@
 void handlePlaced(FleetStepContext &Ctx, Incarnation From,
                   const Placed &Message) {
   OriginJob *Job = findJob(Ctx.State_, Message.Job_);
+  // Crashes may have become known while the tasks waited.
+  if (Job != nullptr && !Job->IsAnswered_ &&
+      exceedsCrashBudget(Ctx.State_, *Job)) {
+    failCrashingJob(Ctx, *Job);
+    Job = findJob(Ctx.State_, Message.Job_);
+  }
   std::vector<uint32_t> Retried;
   StartOrdersByHolder Orders;
   for (const Placement &Place : Message.Tasks_) {
@@ -358,7 +470,7 @@
   if (!Orders.empty())
     sendStartOrders(Ctx, *Job, std::move(Orders));
   if (!Retried.empty())
-    requestWorkers(Ctx, *Job, std::move(Retried));
+    requestWorkers(Ctx, *Job, Retried);
 }
 
 void handlePlaceRefused(FleetStepContext &Ctx, const PlaceRefused &Refused) {
@@ -376,7 +488,7 @@
     Task.Phase_ = OriginTaskPhase::Done;
     ++Job.DoneTasks_;
     if (Job.DoneTasks_ < Job.Tasks_.size())
-      return true;
+      return false;
     increment(Ctx.State_.Counters_, Counter::AnswersComplete);
     answerJob(Ctx, Job, JobOutcome::Completed, "all tasks are done");
     removeJob(Ctx, Job);
@@ -388,6 +500,11 @@
     stopJob(Ctx, Job);
     return true;
   }
+  if (exceedsCrashBudget(Ctx.State_.Crashes_, {Job.Submission_.Id_, Index},
+                         Ctx.State_.Options_.Crashes_)) {
+    failCrashingJob(Ctx, Job);
+    return true;
+  }
   return false;
 }
 
@@ -420,10 +537,15 @@
   }
   if (answerIfDecided(Ctx, *Job, Index, Ended.End_))
     return;
+  if (Task.Phase_ == OriginTaskPhase::Done) {
+    requestHeldBackTasks(Ctx, *Job);
+    return;
+  }
   if (Ended.End_ == RunEnd::Superseded)
     Task.Attempt_ += SkippedAttempts;
   Task.Phase_ = OriginTaskPhase::Waiting;
   requestWorkers(Ctx, *Job, {Index});
+  requestHeldBackTasks(Ctx, *Job);
 }
 
 void expireJobs(FleetStepContext &Ctx) {
@@ -454,6 +576,7 @@
       Task.Phase_ = OriginTaskPhase::Dropped;
       Job.HasEndedRuns_ = true;
       ++LostTasks;
+      addOrphanedRun(Ctx, {Job.Submission_.Id_, Index}, Task.Worker_);
       if (isReachable(Ctx.State_, Task.Placer_))
         sendMessage(Ctx, Task.Placer_,
                     PlaceRelease{Number, Index, RunEnd::Lost});
--- a/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
@@ -134,6 +134,7 @@
        {"view_age_ms", toString(oldestView(Ctx))},
        {"retry_after_ms", toString(RetryAfter)}});
   Job.Request_.Tasks_.clear();
+  Job.Suspects_.clear();
   sendMessage(Ctx, Job.Origin_, PlaceRefused{Job.Request_.Job_, RetryAfter});
   removeIfDone(Placer, Key);
 }
@@ -182,6 +183,14 @@
          static_cast<double>(Job.Request_.Estimate_.Count_);
 }
 
+static std::map<std::string, PlacerWorker>::iterator
+chooseIsolatedWorker(FleetStepContext &Ctx, const PlacerJob &Job) {
+  const FleetInstance &State = Ctx.State_;
+  const std::set<std::string> Racks =
+      recentlyCrashedRacks(State.Crashes_, State.Options_.Crashes_, Ctx.Now_);
+  return chooseIsolatedWorker(Ctx.State_.Placing_, Job, Racks, Ctx.Now_);
+}
+
 static void placeJob(FleetStepContext &Ctx, PlacerJob &Job) {
   PlacerState &Placer = Ctx.State_.Placing_;
   TaskRequirements Requirements{.Job_ = Job,
@@ -191,8 +200,11 @@
   Placed Answer{.Job_ = Job.Request_.Job_};
   std::vector<uint32_t> &Tasks = Job.Request_.Tasks_;
   while (!Tasks.empty()) {
-    const auto Chosen = chooseWorker(Placer, Requirements,
-                                     Ctx.State_.Options_.Placer_, Ctx.Now_);
+    const bool IsSuspect = Job.Suspects_.contains(Tasks.front());
+    const auto Chosen =
+        IsSuspect ? chooseIsolatedWorker(Ctx, Job)
+                  : chooseWorker(Placer, Requirements,
+                                 Ctx.State_.Options_.Placer_, Ctx.Now_);
     if (Chosen == Placer.Workers_.end())
       break;
     Answer.Tasks_.push_back(
@@ -201,8 +213,11 @@
          .Holder_ = Chosen->second.Holder_,
          .FreeMilliCores_ = Chosen->second.Key_->FreeMilliCores_,
          .ViewAge_ = viewAge(Ctx, Chosen->second.Holder_)});
-    addReservation(Placer, Chosen->first, Job.Request_.Needs_);
-    Job.Reservations_.push_back({Tasks.front(), Chosen->first});
+    const Room Amount =
+        amountToReserve(Placer, Chosen->first, Job.Request_.Needs_, IsSuspect);
+    addReservation(Placer, Chosen->first, Amount);
+    Job.Reservations_.push_back({Tasks.front(), Chosen->first, Amount});
+    Job.Suspects_.erase(Tasks.front());
     Tasks.erase(Tasks.begin());
   }
   if (!Answer.Tasks_.empty())
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -1,11 +1,15 @@
 #ifndef MARJORAMBEND_FLEET_WORKERHOLD_H
 #define MARJORAMBEND_FLEET_WORKERHOLD_H
 
+#include "marjorambend/src/Fleet/CrashLedger.h"
 #include "marjorambend/src/Fleet/FleetTypes.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace marjorambend {
 
@@ -40,6 +44,9 @@
   /// of the worker may accept it.
   bool IsStartUnconfirmed_ = true;
   bool IsRepeated_ = false; ///< The start order was sent a second time.
+  /// Incarnation whose crash counts for this run; not set if there is none. An
+  /// unconfirmed start can outlast several, but is carried out once.
+  std::optional<int64_t> CrashedIncarnation_;
   /// Number of the first poll that was sent after the worker's last answer
   /// about the run; 0 if there is none. A run that this poll or a later one
   /// does not list has ended.
@@ -71,6 +78,11 @@
   /// report holds. \sa HolderOptions::CapacityLimitTime_
   std::optional<Room> CapacityLimit_;
   Milliseconds CapacityLimitUntil_;
+  /// Tasks whose runs have failed lately, and when.
+  /// \sa CrashOptions::FailureWindow_
+  std::deque<std::pair<TaskId, Milliseconds>> FailedTasks_;
+  /// Runs in its last lists that this instance has not ordered.
+  std::vector<RunId> UnknownRuns_;
   uint64_t NextPoll_ = 1;
   bool IsPolling_ = false;
   Milliseconds NextPollAt_;
--- a/coordination/test/Simulation/FleetSimulation.cpp
+++ b/coordination/test/Simulation/FleetSimulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace marjorambend::test {
 
@@ -22,7 +23,6 @@
 static constexpr double ObjectiveStretch = 1.6;
 static constexpr double TargetLatency = 60;
 static constexpr double LateWorthShare = 0.2;
-static constexpr uint32_t MaxCallerAttempts = 3;
 static constexpr uint32_t FirstCpuShare = 620;
 
 std::vector<LoadKind> agenciaKinds(double Load) {
@@ -56,7 +56,8 @@
 }
 
 FleetSimulation::FleetSimulation(FleetSimulationOptions Options)
-    : Options_(std::move(Options)), Generator_(Options_.Seed_) {
+    : Options_(std::move(Options)), Generator_(Options_.Seed_),
+      Crashes_(Options_.Seed_ ^ 0xC2B2AE3D27D4EB4FULL) {
   for (uint32_t Centre = 0; Centre < Options_.DataCentres_; ++Centre) {
     const std::string Name = "dc" + std::to_string(Centre);
     for (uint32_t Index = 0; Index < Options_.InstancesPerDataCentre_; ++Index)
@@ -127,6 +128,9 @@
   Options.Placer_ = Options_.Placer_;
   if (Options_.InjectedBug_ == InjectedFleetBug::LongLeases)
     Options.Holder_.Lease_ = Options.Holder_.MaxLease_ = {10'000};
+  if (Options_.InjectedBug_ == InjectedFleetBug::IgnoreCrashes)
+    Options.Crashes_.MaxCrashes_ = Options.Crashes_.MaxCrashesOfAnyCause_ =
+        std::numeric_limits<uint32_t>::max();
   Starting.State_ = std::make_unique<FleetInstance>(
       makeFleetInstance(std::move(Options), Generator_()));
   Starting.State_->Self_.Address_ = Starting.Name_;
@@ -195,6 +199,7 @@
   for (const Node &One : Nodes_)
     Read.Instances_.push_back(One.Info_);
   deliver(Index, Epoch, std::move(Read));
+  readCrashes(Index, Epoch);
 }
 
 bool FleetSimulation::wantsLink(const Node &By, const Node &Other) const {
@@ -389,6 +394,10 @@
       performPoll(Index, *Poll);
     } else if (const auto *Answer = std::get_if<AnswerJob>(&One)) {
       handleAnswer(Index, *Answer);
+    } else if (const auto *Store = std::get_if<StoreCrash>(&One)) {
+      storeCrash(Index, Nodes_[Index].Epoch_, Store->Crash_);
+    } else if (const auto *Forget = std::get_if<ForgetCrash>(&One)) {
+      forgetCrash(Index, Nodes_[Index].Epoch_, Forget->Worker_);
     } else if (const auto *Links = std::get_if<LinkInstances>(&One)) {
       Nodes_[Index].WantedLinks_ = Links->Addresses_;
       connectWanted(Index);
@@ -403,7 +412,8 @@
 
 void FleetSimulation::sendOrder(std::size_t Index, const WorkerTarget &To,
                                 std::function<void(SimWorker &)> Apply,
-                                std::function<void()> Unanswered) {
+                                std::function<void()> Unanswered,
+                                std::optional<int64_t> ApplyDelay) {
   SimWorker *Worker = findWorker(To.Id_);
   if (Worker == nullptr || !Worker->IsUp_ ||
       PartitionedWorkers_[{Index, To.Id_}]) {
@@ -415,17 +425,18 @@
     if (Reached != nullptr && Reached->IsUp_)
       Apply(*Reached);
   };
-  if (chance(Options_.DelayOrder_)) {
-    after(randomBetween(2'000, Options_.MaxApplyDelay_.Count_),
-          [this, DeliverOrder, Id = To.Id_,
-           OldIncarnation = Worker->Report_.Incarnation_] {
-            const SimWorker &Then = *findWorker(Id);
-            IsApplyingDelayedOrder_ = true;
-            IsBeforeAnyPoll_ = Then.Report_.Incarnation_ != OldIncarnation &&
-                               Then.PollsInIncarnation_ < 2;
-            DeliverOrder();
-            IsApplyingDelayedOrder_ = IsBeforeAnyPoll_ = false;
-          });
+  if (!ApplyDelay && chance(Options_.DelayOrder_))
+    ApplyDelay = randomBetween(2'000, Options_.MaxApplyDelay_.Count_);
+  if (ApplyDelay) {
+    after(*ApplyDelay, [this, DeliverOrder, Id = To.Id_,
+                        OldIncarnation = Worker->Report_.Incarnation_] {
+      const SimWorker &Then = *findWorker(Id);
+      IsApplyingDelayedOrder_ = true;
+      IsBeforeAnyPoll_ = Then.Report_.Incarnation_ != OldIncarnation &&
+                         Then.PollsInIncarnation_ < 2;
+      DeliverOrder();
+      IsApplyingDelayedOrder_ = IsBeforeAnyPoll_ = false;
+    });
     after(OrderTimeout, std::move(Unanswered));
     return;
   }
@@ -435,6 +446,7 @@
 
 void FleetSimulation::recordStart(SimWorker &Worker, const RunId &Run) {
   ++Result_.Starts_;
+  recordCrashingStart(Worker, Run);
   // Instances cannot prevent that a restarted worker carries out a late order
   // before the first call from a holder that knows of the restart; see
   // docs/FAULTS.md.
@@ -498,7 +510,7 @@
         else
           after(LocalDelay, [=] { Answer(Result, Clock); });
       },
-      [=] { Answer(WhenUnknown, std::nullopt); });
+      [=] { Answer(WhenUnknown, std::nullopt); }, delayStart(Start));
 }
 
 void FleetSimulation::performStop(std::size_t Index, const StopRun &Stop) {
@@ -707,7 +719,7 @@
 void FleetSimulation::resubmit(Caller &Requester) {
   if (Requester.IsFinished_)
     return;
-  if (Requester.Attempts_ >= MaxCallerAttempts) {
+  if (Requester.Attempts_ >= Options_.CallerAttempts_) {
     finishRequest(Requester, JobOutcome::MayHaveRun);
     return;
   }
@@ -729,7 +741,9 @@
   Nodes_[Index].Requests_.erase(Found);
   if (Answer.Outcome_ == JobOutcome::NotRun)
     ++Requester.NotRunAnswers_;
-  if (Answer.Outcome_ == JobOutcome::MayHaveRun)
+  const bool IsResubmitted = recordAnswer(Requester, Answer.Outcome_) ||
+                             Answer.Outcome_ == JobOutcome::MayHaveRun;
+  if (IsResubmitted)
     resubmit(Requester);
   else
     finishRequest(Requester, Answer.Outcome_);
@@ -740,6 +754,7 @@
     return;
   Requester.IsFinished_ = true;
   Requester.FinishedAt_ = Now_;
+  Requester.Outcome_ = Outcome;
   const LoadKind &Kind = Options_.Kinds_[Requester.Kind_];
   KindResult &Totals = Result_.Kinds_[Kind.Name_];
   const double Mean =
@@ -950,14 +965,7 @@
   for (uint32_t Count = 0; Count < Options_.WorkerCrashes_; ++Count)
     at(randomTimeInLoad(),
        [this, Id = randomWorker(), Duration = randomBetween(200, 4'000)] {
-         SimWorker &Worker = *findWorker(Id);
-         if (!Worker.IsUp_)
-           return;
-         for (const SimRun &Run : Worker.Runs_)
-           RunningOn_.erase({Run.Id_.Job_, Run.Id_.Task_});
-         Worker.IsUp_ = false;
-         Worker.Polls_.clear();
-         after(Duration, [this, Id] { restart(*findWorker(Id), Now_); });
+         crashWorker(Id, Duration, CrashCause::Other);
        });
   for (uint32_t Count = 0; Count < Options_.Drains_; ++Count)
     at(randomTimeInLoad(), [this, Id = randomWorker()] {
@@ -1039,6 +1047,7 @@
   listWorkers();
   generateLoad();
   scheduleFaults();
+  scheduleCrashes();
   const std::function<void(const SimRun &, RunEnd)> NoteEnd =
       [this](const SimRun &Run, RunEnd) {
         RunningOn_.erase({Run.Id_.Job_, Run.Id_.Task_});
@@ -1056,6 +1065,7 @@
     Next.Call_();
   }
   checkFinalState();
+  checkCrashes();
   double Asked = 0;
   double Earned = 0;
   for (const auto &[Name, Kind] : Result_.Kinds_) {
