Tell a rack that fails twice from tasks that crash two racks' workers

Cause: tasks that were moved from one failing rack to another that fails as well passed for the cause of both (racks). Change: a task explains a crash only if it has also crashed a worker of a rack most of which lives on.

--- a/coordination/marjorambend/src/Fleet/CrashLedger.cpp
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.cpp
@@ -22,56 +22,72 @@
   eraseCrash(Ledger, Ledger.Crashes_.find(Ledger.ByAge_.begin()->second));
 }
 
-/// \brief Workers that have crashed in a rack at about the same time.
-struct RackCrashes {
-  std::set<std::string_view> Workers_;
-  /// Those without a task that has also crashed a worker of another rack.
-  std::set<std::string_view> Unexplained_;
-};
+using CrashEntry = CrashLedger::Entry;
 
-static bool isExplainedByTask(const CrashLedger &Ledger,
-                              const CrashLedger::Entry &Crash) {
-  const auto IsInOtherRack = [&](const WorkerIncarnation &Worker) {
-    return Ledger.Crashes_.at(Worker).Rack_ != Crash.Rack_;
-  };
-  return std::any_of(
-      Crash.Tasks_.begin(), Crash.Tasks_.end(), [&](const TaskId &Task) {
-        const auto &Workers = Ledger.ByTask_.at(Task);
-        return std::any_of(Workers.begin(), Workers.end(), IsInOtherRack);
-      });
-}
-
-static RackCrashes crashesInRack(const CrashLedger &Ledger,
-                                 const CrashLedger::Entry &Crash,
-                                 const CrashOptions &Options) {
-  RackCrashes Found;
+// Calls \p Visit for each crash in the rack and at the time of \p Crash.
+template <typename Visitor>
+static void visitRackCrashes(const CrashLedger &Ledger, const CrashEntry &Crash,
+                             const CrashOptions &Options, Visitor Visit) {
   const auto First = Ledger.ByAge_.lower_bound(
       {Crash.NoticedAt_ - Options.RackWindow_, WorkerIncarnation{}});
   for (auto It = First; It != Ledger.ByAge_.end(); ++It) {
     const auto &[NoticedAt, Worker] = *It;
     if (NoticedAt > Crash.NoticedAt_ + Options.RackWindow_)
-      break;
-    const CrashLedger::Entry &Other = Ledger.Crashes_.at(Worker);
-    if (Other.Rack_ != Crash.Rack_)
-      continue;
-    Found.Workers_.insert(Worker.Worker_);
-    if (!isExplainedByTask(Ledger, Other))
-      Found.Unexplained_.insert(Worker.Worker_);
+      return;
+    const CrashEntry &Other = Ledger.Crashes_.at(Worker);
+    if (Other.Rack_ == Crash.Rack_)
+      Visit(Worker, Other);
   }
-  return Found;
 }
 
-static bool hasRackFailed(const CrashLedger &Ledger,
-                          const CrashLedger::Entry &Crash,
-                          const CrashOptions &Options) {
+// Whether most workers of the rack have crashed, for whatever reason.
+static bool hasMostOfRackCrashed(const CrashLedger &Ledger,
+                                 const CrashEntry &Crash,
+                                 const CrashOptions &Options) {
   if (Crash.Rack_.empty())
     return false;
-  const RackCrashes Found = crashesInRack(Ledger, Crash, Options);
-  return Found.Unexplained_.size() >= Options.MinRackCrashes_ &&
-         static_cast<double>(Found.Workers_.size()) >=
+  std::set<std::string_view> Workers;
+  visitRackCrashes(
+      Ledger, Crash, Options,
+      [&Workers](const WorkerIncarnation &Worker, const CrashEntry &) {
+        Workers.insert(Worker.Worker_);
+      });
+  return Workers.size() >= Options.MinRackCrashes_ &&
+         static_cast<double>(Workers.size()) >=
              Options.RackShare_ * Crash.RackSize_;
 }
 
+// Whether a task under the crash has also crashed a worker of another rack,
+// most of which lives on.
+static bool isExplainedByTask(const CrashLedger &Ledger,
+                              const CrashEntry &Crash,
+                              const CrashOptions &Options) {
+  const auto IsEvidence = [&](const WorkerIncarnation &Worker) {
+    const CrashEntry &Other = Ledger.Crashes_.at(Worker);
+    return Other.Rack_ != Crash.Rack_ &&
+           !hasMostOfRackCrashed(Ledger, Other, Options);
+  };
+  return std::any_of(
+      Crash.Tasks_.begin(), Crash.Tasks_.end(), [&](const TaskId &Task) {
+        const auto &Workers = Ledger.ByTask_.at(Task);
+        return std::any_of(Workers.begin(), Workers.end(), IsEvidence);
+      });
+}
+
+static bool hasRackFailed(const CrashLedger &Ledger, const CrashEntry &Crash,
+                          const CrashOptions &Options) {
+  if (!hasMostOfRackCrashed(Ledger, Crash, Options))
+    return false;
+  std::set<std::string_view> Unexplained;
+  visitRackCrashes(
+      Ledger, Crash, Options,
+      [&](const WorkerIncarnation &Worker, const CrashEntry &Other) {
+        if (!isExplainedByTask(Ledger, Other, Options))
+          Unexplained.insert(Worker.Worker_);
+      });
+  return Unexplained.size() >= Options.MinRackCrashes_;
+}
+
 // Crashes under a task, without those of a rack that has failed.
 static uint32_t countCrashes(const CrashLedger &Ledger, const TaskId &Task,
                              const CrashOptions &Options) {
