Give up a task only for crashes that are certain

By review, held-back tasks were requested from a placer that was gone, and a stop confirmed by a worker was not repeated to its next incarnation. Change: a crash counts once the worker is back in a new incarnation, for tasks that were running when it last answered. Until then a task with two possible crashes is held back, for six seconds at most. Runs that had just failed are no longer included. Held-back tasks go to the present placer. Confirmed stops are forgotten with the incarnation.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -151,6 +151,16 @@
   Hold.FencingToken_ = newFencingToken(Ctx.State_, Hold.FencingToken_);
 }
 
+// The new incarnation has not received the stops that the previous one has
+// confirmed.
+static void forgetConfirmedStops(WorkerHold &Hold) {
+  for (auto &[Id, Run] : Hold.Runs_) {
+    Run.IsStopConfirmed_ = false;
+    if (Run.Phase_ == RunPhase::Stopping)
+      Run.NextStopAt_ = {};
+  }
+}
+
 // Discards what was learnt about the previous incarnation. The new one has seen
 // no token, and its clock starts again, so only a higher token makes it reject
 // delayed orders to the previous one.
@@ -162,13 +172,13 @@
   Hold.Phase_ = HoldPhase::Claiming;
   raiseFencingToken(Ctx, Hold);
   awaitNextToken(Hold);
+  forgetConfirmedStops(Hold);
   Hold.ClockOffset_.reset();
   Hold.CapacityLimit_.reset();
   Hold.AckedThrough_ = 0;
   Hold.Slowness_ = 1.0;
   Hold.ConsecutiveFailures_ = 0;
   Hold.UnknownRuns_.clear();
-  Hold.FailedTasks_.clear();
   announceIfChanged(Ctx, Hold);
 }
 
@@ -243,7 +253,7 @@
     Hold.Report_.Incarnation_ = Listed.Incarnation_;
   }
   if (Listed.Incarnation_ != 0)
-    withdrawCrashIfAlive(Ctx, Hold);
+    settleCrashes(Ctx, Hold);
   if (Hold.Phase_ == HoldPhase::Suspect)
     Hold.Phase_ = HoldPhase::Open;
   applyPollAnswer(Ctx, Hold, Listed);
--- a/coordination/marjorambend/src/Fleet/CrashLedger.cpp
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.cpp
@@ -1,6 +1,7 @@
 #include "marjorambend/src/Fleet/CrashLedger.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace marjorambend {
 namespace internal {
@@ -8,12 +9,18 @@
 using CrashIterator = std::map<WorkerIncarnation, CrashLedger::Entry>::iterator;
 
 static void eraseCrash(CrashLedger &Ledger, CrashIterator Crash) {
-  for (const TaskId &Task : Crash->second.Tasks_) {
-    const auto Known = Ledger.ByTask_.find(Task);
-    Known->second.erase(Crash->first);
-    if (Known->second.empty())
-      Ledger.ByTask_.erase(Known);
-  }
+  const auto Unlink = [&](const std::set<TaskId> &Tasks) {
+    for (const TaskId &Task : Tasks) {
+      const auto Known = Ledger.ByTask_.find(Task);
+      if (Known == Ledger.ByTask_.end())
+        continue;
+      Known->second.erase(Crash->first);
+      if (Known->second.empty())
+        Ledger.ByTask_.erase(Known);
+    }
+  };
+  Unlink(Crash->second.Tasks_);
+  Unlink(Crash->second.PossibleTasks_);
   Ledger.ByAge_.erase({Crash->second.NoticedAt_, Crash->first});
   Ledger.Crashes_.erase(Crash);
 }
@@ -88,17 +95,33 @@
   return Unexplained.size() >= Options.MinRackCrashes_;
 }
 
-// Crashes under a task, without those of a rack that has failed.
-static uint32_t countCrashes(const CrashLedger &Ledger, const TaskId &Task,
-                             const CrashOptions &Options) {
+/// \brief Crashes under a task.
+struct TaskCrashes {
+  uint32_t Confirmed_ = 0;       ///< Of any cause, under the running task.
+  uint32_t ConfirmedByTask_ = 0; ///< Without those of a rack that has failed.
+  uint32_t Possible_ = 0;        ///< The same, with all others.
+  uint32_t Recent_ = 0; ///< Of the possible ones: confirmed or still in doubt.
+};
+
+static TaskCrashes countCrashes(const CrashLedger &Ledger, const TaskId &Task,
+                                const CrashOptions &Options, Milliseconds Now) {
+  TaskCrashes Count;
   const auto Found = Ledger.ByTask_.find(Task);
   if (Found == Ledger.ByTask_.end())
-    return 0;
-  return static_cast<uint32_t>(std::count_if(
-      Found->second.begin(), Found->second.end(),
-      [&](const WorkerIncarnation &Worker) {
-        return !hasRackFailed(Ledger, Ledger.Crashes_.at(Worker), Options);
-      }));
+    return Count;
+  for (const WorkerIncarnation &Worker : Found->second) {
+    const CrashEntry &Crash = Ledger.Crashes_.at(Worker);
+    const bool IsCertain = Crash.IsConfirmed_ && Crash.Tasks_.contains(Task);
+    Count.Confirmed_ += IsCertain ? 1 : 0;
+    if (hasRackFailed(Ledger, Crash, Options))
+      continue;
+    ++Count.Possible_;
+    Count.ConfirmedByTask_ += IsCertain ? 1 : 0;
+    const bool IsRecent =
+        IsCertain || Now - Crash.NoticedAt_ <= Options.DoubtTime_;
+    Count.Recent_ += IsRecent ? 1 : 0;
+  }
+  return Count;
 }
 
 } // namespace internal
@@ -115,13 +138,16 @@
     Entry.NoticedAt_ = Now - Crash.Age_;
     Ledger.ByAge_.insert({Entry.NoticedAt_, Crash.Worker_});
   }
-  bool HasChanged = IsNew;
-  for (const TaskId &Task : Crash.Tasks_) {
-    if (!Entry.Tasks_.insert(Task).second)
-      continue;
-    Ledger.ByTask_[Task].insert(Crash.Worker_);
-    HasChanged = true;
-  }
+  bool HasChanged = IsNew || (Crash.IsConfirmed_ && !Entry.IsConfirmed_);
+  Entry.IsConfirmed_ = Entry.IsConfirmed_ || Crash.IsConfirmed_;
+  const auto Add = [&](const std::vector<TaskId> &From, std::set<TaskId> &To) {
+    for (const TaskId &Task : From) {
+      HasChanged = To.insert(Task).second || HasChanged;
+      Ledger.ByTask_[Task].insert(Crash.Worker_);
+    }
+  };
+  Add(Crash.Tasks_, Entry.Tasks_);
+  Add(Crash.PossibleTasks_, Entry.PossibleTasks_);
   while (Ledger.Crashes_.size() > Options.MaxKept_)
     internal::eraseOldest(Ledger);
   return HasChanged;
@@ -142,23 +168,54 @@
     internal::eraseOldest(Ledger);
 }
 
+std::vector<WorkerIncarnation>
+unconfirmedCrashesBefore(const CrashLedger &Ledger,
+                         const WorkerIncarnation &Worker) {
+  std::vector<WorkerIncarnation> Found;
+  for (auto It = Ledger.Crashes_.lower_bound({Worker.Worker_, INT64_MIN});
+       It != Ledger.Crashes_.end() && It->first < Worker; ++It) {
+    if (!It->second.IsConfirmed_)
+      Found.push_back(It->first);
+  }
+  return Found;
+}
+
+void confirmCrash(CrashLedger &Ledger, const WorkerIncarnation &Worker) {
+  Ledger.Crashes_.at(Worker).IsConfirmed_ = true;
+}
+
+WorkerCrash describeCrash(const CrashLedger &Ledger,
+                          const WorkerIncarnation &Worker, Milliseconds Now) {
+  const CrashLedger::Entry &Entry = Ledger.Crashes_.at(Worker);
+  return {.Worker_ = Worker,
+          .Tasks_ = {Entry.Tasks_.begin(), Entry.Tasks_.end()},
+          .PossibleTasks_ = {Entry.PossibleTasks_.begin(),
+                             Entry.PossibleTasks_.end()},
+          .IsConfirmed_ = Entry.IsConfirmed_,
+          .Rack_ = Entry.Rack_,
+          .RackSize_ = Entry.RackSize_,
+          .Age_ = Now - Entry.NoticedAt_};
+}
+
 std::vector<WorkerCrash> listOwnCrashes(const CrashLedger &Ledger,
                                         Milliseconds Now) {
   std::vector<WorkerCrash> Crashes;
   for (const auto &[Worker, Entry] : Ledger.Crashes_) {
     if (Entry.IsNoticedHere_)
-      Crashes.push_back({.Worker_ = Worker,
-                         .Tasks_ = {Entry.Tasks_.begin(), Entry.Tasks_.end()},
-                         .Rack_ = Entry.Rack_,
-                         .RackSize_ = Entry.RackSize_,
-                         .Age_ = Now - Entry.NoticedAt_});
+      Crashes.push_back(describeCrash(Ledger, Worker, Now));
   }
   return Crashes;
 }
 
 bool isSuspect(const CrashLedger &Ledger, const TaskId &Task,
                const CrashOptions &Options) {
-  return internal::countCrashes(Ledger, Task, Options) > 0;
+  return internal::countCrashes(Ledger, Task, Options, {}).Possible_ > 0;
+}
+
+bool isInDoubt(const CrashLedger &Ledger, const TaskId &Task,
+               const CrashOptions &Options, Milliseconds Now) {
+  return internal::countCrashes(Ledger, Task, Options, Now).Recent_ >=
+         Options.MaxCrashes_;
 }
 
 std::set<std::string> recentlyCrashedRacks(const CrashLedger &Ledger,
@@ -174,11 +231,10 @@
 
 bool exceedsCrashBudget(const CrashLedger &Ledger, const TaskId &Task,
                         const CrashOptions &Options) {
-  const auto Found = Ledger.ByTask_.find(Task);
-  if (Found == Ledger.ByTask_.end())
-    return false;
-  return Found->second.size() >= Options.MaxCrashesOfAnyCause_ ||
-         internal::countCrashes(Ledger, Task, Options) >= Options.MaxCrashes_;
+  const internal::TaskCrashes Count =
+      internal::countCrashes(Ledger, Task, Options, {});
+  return Count.ConfirmedByTask_ >= Options.MaxCrashes_ ||
+         Count.Confirmed_ >= Options.MaxCrashesOfAnyCause_;
 }
 
 } // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/CrashLedger.h
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.h
@@ -47,10 +47,12 @@
 /// \brief A worker that has crashed, or is silent as if it had.
 struct WorkerCrash {
   WorkerIncarnation Worker_;
-  std::vector<TaskId> Tasks_; ///< May have been running; none if it was idle.
-  std::string Rack_;          ///< Empty if unknown.
-  uint32_t RackSize_ = 0;     ///< Listed workers of the rack.
-  Milliseconds Age_;          ///< Time since it was noticed.
+  std::vector<TaskId> Tasks_;         ///< Were running when it last answered.
+  std::vector<TaskId> PossibleTasks_; ///< May have been started there.
+  bool IsConfirmed_ = false;          ///< It is known to have restarted.
+  std::string Rack_;                  ///< Empty if unknown.
+  uint32_t RackSize_ = 0;             ///< Listed workers of the rack.
+  Milliseconds Age_;                  ///< Time since it was noticed.
 };
 
 /// \brief A task whose run was lost with the holder of its worker, which may
@@ -63,8 +65,9 @@
 
 /// \brief Options for tasks under which workers crash.
 struct CrashOptions {
-  /// Crashes under a task after which it is given up, without those of a rack
-  /// that has failed.
+  /// Confirmed crashes under a task after which it is given up, without those
+  /// of a rack that has failed. While unconfirmed ones complete this number,
+  /// the task is not started.
   uint32_t MaxCrashes_ = 2;
   /// The same, with those.
   uint32_t MaxCrashesOfAnyCause_ = 3;
@@ -75,9 +78,9 @@
   /// rack.
   double RackShare_ = 0.75;
   uint32_t MinRackCrashes_ = 3;
-  /// Time after the failure of a run in which a crash of its worker is
-  /// attributed to it as well.
-  Milliseconds FailureWindow_{1'000};
+  /// Time for which an unconfirmed crash prevents starts; a crashed worker is
+  /// back within seconds.
+  Milliseconds DoubtTime_{6'000};
   /// Time after the loss of a holder in which a crash of one of its workers is
   /// attributed to the tasks that ran there; workers are back within seconds.
   Milliseconds OrphanWindow_{6'000};
@@ -95,6 +98,8 @@
 struct CrashLedger {
   struct Entry {
     std::set<TaskId> Tasks_;
+    std::set<TaskId> PossibleTasks_;
+    bool IsConfirmed_ = false;
     std::string Rack_;
     uint32_t RackSize_ = 0;
     Milliseconds NoticedAt_;
@@ -105,7 +110,7 @@
   std::set<std::pair<Milliseconds, WorkerIncarnation>> ByAge_;
 };
 
-/// \brief Adds a crash, or the tasks that are not recorded with it yet.
+/// \brief Adds a crash, or what is not recorded of it yet.
 ///
 /// \returns whether the ledger has changed.
 bool recordCrash(CrashLedger &Ledger, const WorkerCrash &Crash,
@@ -116,6 +121,18 @@
 /// \returns whether the ledger had it.
 bool withdrawCrash(CrashLedger &Ledger, const WorkerIncarnation &Worker);
 
+/// \brief The unconfirmed crashes of \p Worker in incarnations before this one.
+std::vector<WorkerIncarnation>
+unconfirmedCrashesBefore(const CrashLedger &Ledger,
+                         const WorkerIncarnation &Worker);
+
+/// \brief Confirms a recorded crash: the worker is back in a new incarnation.
+void confirmCrash(CrashLedger &Ledger, const WorkerIncarnation &Worker);
+
+/// \brief The recorded crash of \p Worker, to be sent to other instances.
+WorkerCrash describeCrash(const CrashLedger &Ledger,
+                          const WorkerIncarnation &Worker, Milliseconds Now);
+
 /// \brief Removes crashes that are older than CrashOptions::Retention_.
 void expireCrashes(CrashLedger &Ledger, const CrashOptions &Options,
                    Milliseconds Now);
@@ -124,22 +141,26 @@
 std::vector<WorkerCrash> listOwnCrashes(const CrashLedger &Ledger,
                                         Milliseconds Now);
 
-/// \brief Whether a worker has crashed under the task, other than with its
+/// \brief Whether a worker may have crashed under the task, other than with its
 /// whole rack. Until the task is done it should not share a worker with others.
 bool isSuspect(const CrashLedger &Ledger, const TaskId &Task,
                const CrashOptions &Options);
 
+/// \brief Whether the task is not to be started until it is known which of the
+/// silent workers that ran it have crashed.
+bool isInDoubt(const CrashLedger &Ledger, const TaskId &Task,
+               const CrashOptions &Options, Milliseconds Now);
+
 /// \brief Racks in which a worker has crashed within
 /// CrashOptions::RackWindow_; others may have, unnoticed yet.
 std::set<std::string> recentlyCrashedRacks(const CrashLedger &Ledger,
                                            const CrashOptions &Options,
                                            Milliseconds Now);
 
-/// \brief Whether the task has crashed so many workers that it must not be
-/// started again.
+/// \brief Whether the task has crashed so many workers that it is given up.
 ///
-/// Crashes of a rack that has failed are left out, up to
-/// CrashOptions::MaxCrashesOfAnyCause_.
+/// Counts confirmed crashes under which the task was running. Those of a rack
+/// that has failed are left out, up to CrashOptions::MaxCrashesOfAnyCause_.
 bool exceedsCrashBudget(const CrashLedger &Ledger, const TaskId &Task,
                         const CrashOptions &Options);
 
--- a/coordination/marjorambend/src/Fleet/Crashes.cpp
+++ b/coordination/marjorambend/src/Fleet/Crashes.cpp
@@ -39,15 +39,6 @@
     sendMessage(Ctx, Run, Message);
 }
 
-static WorkerCrash crashOf(const FleetStepContext &Ctx, const WorkerHold &Hold,
-                           std::vector<TaskId> Tasks) {
-  const FailureDomain Domain = failureDomainOf(Ctx.State_, Hold.Report_);
-  return {.Worker_ = {Hold.Report_.Id_, Hold.Report_.Incarnation_},
-          .Tasks_ = std::move(Tasks),
-          .Rack_ = Domain.Label_,
-          .RackSize_ = Domain.Workers_};
-}
-
 static std::vector<TaskId> orphanedTasks(const FleetInstance &State,
                                          const std::string &Worker) {
   std::vector<TaskId> Tasks;
@@ -62,8 +53,9 @@
 // started there; their origins do.
 static void addOrphanedTasks(FleetStepContext &Ctx, const WorkerCrash &Crash) {
   WorkerCrash Orphans = Crash;
-  Orphans.Tasks_ = orphanedTasks(Ctx.State_, Crash.Worker_.Worker_);
-  if (Orphans.Tasks_.empty() ||
+  Orphans.Tasks_.clear();
+  Orphans.PossibleTasks_ = orphanedTasks(Ctx.State_, Crash.Worker_.Worker_);
+  if (Orphans.PossibleTasks_.empty() ||
       !recordCrash(Ctx.State_.Crashes_, Orphans, Ctx.State_.Options_.Crashes_,
                    Ctx.Now_))
     return;
@@ -71,19 +63,6 @@
   Ctx.Out_.push_back(StoreCrash{Orphans});
 }
 
-static bool isRecentFailure(const FleetStepContext &Ctx,
-                            Milliseconds FailedAt) {
-  return Ctx.Now_ - FailedAt <= Ctx.State_.Options_.Crashes_.FailureWindow_;
-}
-
-void noteFailedTask(const FleetStepContext &Ctx, WorkerHold &Hold,
-                    const TaskId &Task) {
-  while (!Hold.FailedTasks_.empty() &&
-         !isRecentFailure(Ctx, Hold.FailedTasks_.front().second))
-    Hold.FailedTasks_.pop_front();
-  Hold.FailedTasks_.emplace_back(Task, Ctx.Now_);
-}
-
 bool hasSuspectRun(const FleetStepContext &Ctx, const WorkerHold &Hold) {
   return std::any_of(Hold.Runs_.begin(), Hold.Runs_.end(),
                      [&Ctx](const auto &Entry) {
@@ -93,11 +72,9 @@
                      });
 }
 
-// Tasks that may have run when the worker crashed.
-static std::vector<TaskId>
-tasksUnderCrash(const FleetStepContext &Ctx, WorkerHold &Hold,
-                const std::vector<ListedRun> &Survivors) {
-  std::vector<TaskId> Tasks;
+// Adds the tasks that ran, or may have run, when the worker crashed.
+static void addTasks(WorkerHold &Hold, const std::vector<ListedRun> &Survivors,
+                     WorkerCrash &Crash) {
   for (auto &[Id, Run] : Hold.Runs_) {
     const bool HasSurvived = std::any_of(
         Survivors.begin(), Survivors.end(),
@@ -106,16 +83,24 @@
       continue;
     if (!Run.CrashedIncarnation_)
       Run.CrashedIncarnation_ = Hold.Report_.Incarnation_;
-    if (Run.CrashedIncarnation_ == Hold.Report_.Incarnation_)
-      Tasks.push_back({Id.Job_, Id.Task_});
+    if (Run.CrashedIncarnation_ != Hold.Report_.Incarnation_)
+      continue;
+    const bool WasRunning = Run.StartedAt_.Count_ != 0 && !Run.IsStopConfirmed_;
+    (WasRunning ? Crash.Tasks_ : Crash.PossibleTasks_)
+        .push_back({Id.Job_, Id.Task_});
   }
   for (const RunId &Id : Hold.UnknownRuns_)
-    Tasks.push_back({Id.Job_, Id.Task_});
-  for (const auto &[Task, FailedAt] : Hold.FailedTasks_) {
-    if (isRecentFailure(Ctx, FailedAt))
-      Tasks.push_back(Task);
-  }
-  return Tasks;
+    Crash.PossibleTasks_.push_back({Id.Job_, Id.Task_});
+}
+
+// Tells all instances and the store of a crash in the ledger.
+static void spreadCrash(FleetStepContext &Ctx,
+                        const WorkerIncarnation &Worker) {
+  const WorkerCrash Crash =
+      describeCrash(Ctx.State_.Crashes_, Worker, Ctx.Now_);
+  sendToMembers(Ctx, CrashNews{.Crashes_ = {Crash}});
+  if (!Crash.Tasks_.empty() || !Crash.PossibleTasks_.empty())
+    Ctx.Out_.push_back(StoreCrash{Crash});
 }
 
 void noteCrash(FleetStepContext &Ctx, WorkerHold &Hold,
@@ -123,9 +108,12 @@
   // A worker that drains ends all runs when it leaves.
   if (Hold.Report_.IsDraining_)
     return;
+  const FailureDomain Domain = failureDomainOf(Ctx.State_, Hold.Report_);
+  WorkerCrash Crash{.Worker_ = {Hold.Report_.Id_, Hold.Report_.Incarnation_},
+                    .Rack_ = Domain.Label_,
+                    .RackSize_ = Domain.Workers_};
+  addTasks(Hold, Survivors, Crash);
   CrashLedger &Ledger = Ctx.State_.Crashes_;
-  const WorkerCrash Crash =
-      crashOf(Ctx, Hold, tasksUnderCrash(Ctx, Hold, Survivors));
   if (!recordCrash(Ledger, Crash, Ctx.State_.Options_.Crashes_, Ctx.Now_))
     return;
   Ledger.Crashes_.at(Crash.Worker_).IsNoticedHere_ = true;
@@ -134,17 +122,14 @@
       {{"worker", Crash.Worker_.Worker_},
        {"life", std::to_string(Crash.Worker_.Incarnation_)},
        {"rack", Crash.Rack_},
-       {"runs", std::to_string(Crash.Tasks_.size())}});
-  sendToMembers(Ctx, CrashNews{.Crashes_ = {Crash}});
-  if (!Crash.Tasks_.empty())
-    Ctx.Out_.push_back(StoreCrash{Crash});
+       {"runs", std::to_string(Crash.Tasks_.size())},
+       {"possible", std::to_string(Crash.PossibleTasks_.size())}});
+  spreadCrash(Ctx, Crash.Worker_);
   addOrphanedTasks(Ctx, Crash);
 }
 
-void withdrawCrashIfAlive(FleetStepContext &Ctx, WorkerHold &Hold) {
-  const WorkerIncarnation Worker{Hold.Report_.Id_, Hold.Report_.Incarnation_};
-  if (!withdrawCrash(Ctx.State_.Crashes_, Worker))
-    return;
+static void withdrawOwnCrash(FleetStepContext &Ctx, WorkerHold &Hold,
+                             const WorkerIncarnation &Worker) {
   log(Ctx, "crash_withdrawn", 0,
       {{"worker", Worker.Worker_},
        {"life", std::to_string(Worker.Incarnation_)}});
@@ -154,6 +139,18 @@
   Ctx.Out_.push_back(ForgetCrash{Worker});
 }
 
+void settleCrashes(FleetStepContext &Ctx, WorkerHold &Hold) {
+  CrashLedger &Ledger = Ctx.State_.Crashes_;
+  const WorkerIncarnation Alive{Hold.Report_.Id_, Hold.Report_.Incarnation_};
+  if (withdrawCrash(Ledger, Alive))
+    withdrawOwnCrash(Ctx, Hold, Alive);
+  for (const WorkerIncarnation &Past :
+       unconfirmedCrashesBefore(Ledger, Alive)) {
+    confirmCrash(Ledger, Past);
+    spreadCrash(Ctx, Past);
+  }
+}
+
 void handleCrashNews(FleetStepContext &Ctx, const CrashNews &News) {
   FleetInstance &State = Ctx.State_;
   for (const WorkerCrash &Crash : News.Crashes_) {
--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -186,6 +186,7 @@
     choosePlacer(Ctx);
   expireCrashRecords(Ctx);
   tickHolds(Ctx);
+  reviewSuspectJobs(Ctx);
   expireJobs(Ctx);
   reviewEarlyJobs(Ctx);
   reviewWaitingJobs(Ctx);
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -43,6 +43,9 @@
 /// Submits the jobs that have waited for the first configuration, or refuses
 /// them if it does not arrive.
 void reviewEarlyJobs(FleetStepContext &Ctx);
+/// Fails jobs whose tasks have crashed too many workers, and requests workers
+/// for suspect tasks that are no longer in doubt.
+void reviewSuspectJobs(FleetStepContext &Ctx);
 void giveUpAllJobs(FleetStepContext &Ctx, std::string_view Why);
 /// @}
 
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -81,11 +81,9 @@
 /// Whether the worker runs a task under which another worker has crashed: a
 /// single failed poll is a likely crash then.
 bool hasSuspectRun(const FleetStepContext &Ctx, const WorkerHold &Hold);
-/// Remembers a failed run for a crash that may follow.
-void noteFailedTask(const FleetStepContext &Ctx, WorkerHold &Hold,
-                    const TaskId &Task);
-/// Withdraws the crash of a worker that was only silent.
-void withdrawCrashIfAlive(FleetStepContext &Ctx, WorkerHold &Hold);
+/// Handles an answer of the worker: withdraws a crash of this incarnation, as
+/// it was only silent, and confirms those of earlier ones.
+void settleCrashes(FleetStepContext &Ctx, WorkerHold &Hold);
 /// @}
 
 /// Claiming, polling and losing a worker; see Claims.cpp.
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -130,10 +130,7 @@
     Hold.Slowness_ = std::exp(Known + Options.LearningRate_ * (Sample - Known));
     return;
   }
-  if (End != RunEnd::Failed)
-    return;
-  noteFailedTask(Ctx, Hold, {Id.Job_, Id.Task_});
-  if (Hold.LastFailedJob_ == Id.Job_)
+  if (End != RunEnd::Failed || Hold.LastFailedJob_ == Id.Job_)
     return;
   Hold.LastFailedJob_ = Id.Job_;
   countFailure(Ctx, Hold, "runs fail");
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -193,7 +193,9 @@
   std::vector<uint32_t> Tasks;
   for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
     OriginTask &Task = Job.Tasks_[Index];
-    if (!Task.IsHeldBack_ || static_cast<int64_t>(Tasks.size()) >= Allowed)
+    if (!Task.IsHeldBack_ || static_cast<int64_t>(Tasks.size()) >= Allowed ||
+        isInDoubt(Ctx.State_.Crashes_, {Job.Submission_.Id_, Index},
+                  Ctx.State_.Options_.Crashes_, Ctx.Now_))
       continue;
     Task.IsHeldBack_ = false;
     Tasks.push_back(Index);
@@ -202,8 +204,10 @@
          {"attempt", std::to_string(Task.Attempt_ + 1)}});
     increment(Ctx.State_.Counters_, Counter::TasksIsolated);
   }
-  if (!Tasks.empty())
-    sendPlaceRequest(Ctx, Job, std::move(Tasks), true);
+  if (Tasks.empty())
+    return;
+  Job.Placer_ = Ctx.State_.Placer_;
+  sendPlaceRequest(Ctx, Job, std::move(Tasks), true);
 }
 
 std::vector<uint32_t> waitingTasks(const OriginJob &Job) {
@@ -596,6 +600,22 @@
   }
 }
 
+void reviewSuspectJobs(FleetStepContext &Ctx) {
+  if (Ctx.State_.Crashes_.ByTask_.empty())
+    return;
+  std::vector<uint64_t> Failed;
+  for (auto &[Number, Job] : Ctx.State_.Jobs_) {
+    if (Job.IsAnswered_)
+      continue;
+    if (exceedsCrashBudget(Ctx.State_, Job))
+      Failed.push_back(Number);
+    else
+      requestHeldBackTasks(Ctx, Job);
+  }
+  for (const uint64_t Number : Failed)
+    failCrashingJob(Ctx, Ctx.State_.Jobs_.at(Number));
+}
+
 void giveUpAllJobs(FleetStepContext &Ctx, std::string_view Why) {
   for (const auto &[ArrivedAt, Submission] :
        std::exchange(Ctx.State_.EarlyJobs_, {}))
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -1,14 +1,11 @@
 #ifndef MARJORAMBEND_FLEET_WORKERHOLD_H
 #define MARJORAMBEND_FLEET_WORKERHOLD_H
 
-#include "marjorambend/src/Fleet/CrashLedger.h"
 #include "marjorambend/src/Fleet/FleetTypes.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace marjorambend {
@@ -78,9 +75,6 @@
   /// report holds. \sa HolderOptions::CapacityLimitTime_
   std::optional<Room> CapacityLimit_;
   Milliseconds CapacityLimitUntil_;
-  /// Tasks whose runs have failed lately, and when.
-  /// \sa CrashOptions::FailureWindow_
-  std::deque<std::pair<TaskId, Milliseconds>> FailedTasks_;
   /// Runs in its last lists that this instance has not ordered.
   std::vector<RunId> UnknownRuns_;
   uint64_t NextPoll_ = 1;
--- a/coordination/test/Fleet/CrashLedgerTests.cpp
+++ b/coordination/test/Fleet/CrashLedgerTests.cpp
@@ -16,6 +16,7 @@
                       std::string Rack = "") const {
     return {.Worker_ = {Worker, 1},
             .Tasks_ = std::move(Tasks),
+            .IsConfirmed_ = true,
             .Rack_ = std::move(Rack),
             .RackSize_ = 8};
   }
@@ -40,6 +41,36 @@
   CHECK(!exceedsCrashBudget(Ledger_, {8, 0}, Options_));
 }
 
+// A worker that is cut off looks like one that has crashed.
+TEST(CrashesUnderATask, OnlyHoldItBackUntilTheyAreConfirmed) {
+  WorkerCrash First = crashOf("a", {Task_});
+  First.IsConfirmed_ = false;
+  WorkerCrash Second = crashOf("b", {Task_});
+  Second.IsConfirmed_ = false;
+  record(First);
+  record(Second);
+  CHECK(!isGivenUp());
+  CHECK(isInDoubt(Ledger_, Task_, Options_, Now_));
+  CHECK(!isInDoubt(Ledger_, Task_, Options_,
+                   Now_ + Options_.DoubtTime_ + Milliseconds{1}));
+  LONGS_EQUAL(1, unconfirmedCrashesBefore(Ledger_, {"a", 2}).size());
+  confirmCrash(Ledger_, {"a", 1});
+  CHECK(!isGivenUp());
+  confirmCrash(Ledger_, {"b", 1});
+  CHECK(isGivenUp());
+}
+
+// A start without an answer may have reached no worker.
+TEST(CrashesUnderATask, DoNotCountIfItMayNotHaveRun) {
+  for (const char *Worker : {"a", "b", "c"}) {
+    WorkerCrash Crash = crashOf(Worker, {});
+    Crash.PossibleTasks_ = {Task_};
+    record(Crash);
+  }
+  CHECK(isSuspect());
+  CHECK(!isGivenUp());
+}
+
 TEST(CrashesUnderATask, CountOnceForEachIncarnationOfAWorker) {
   record(crashOf("a", {Task_}));
   CHECK(!record(crashOf("a", {Task_})));
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -395,6 +395,19 @@
   CHECK(LatestLeaseEnd_ < AbandonedAt + ResubmitDelay);
 }
 
+// The next incarnation carries out the start late; it has not seen the stop.
+TEST(AWorkerWhoseStopsAreLost, GetsAStopAgainInItsNextIncarnation) {
+  orderRunOfPeer();
+  Instance_.answerStart(OrderResult::Unknown, Run_);
+  Instance_.answerStart(OrderResult::Unknown, Run_);
+  Instance_.handle(
+      StopAnswered{"w", Run_, OrderResult::Accepted, std::nullopt});
+  FleetActions Actions = Instance_.listRuns({Run_}, {}, 2);
+  for (FleetAction &One : Instance_.advance(40))
+    Actions.push_back(std::move(One));
+  expectCount<StopRun>(1, Actions);
+}
+
 TEST(AWorkerWhoseStopsAreLost, IsRenewedOnceAStopIsConfirmed) {
   startRunOfPeer();
   Instance_.handle(MessageReceived{{2}, StopOrder{Run_, "w"}});
--- a/transport/marjorambend/src/Transport/FleetDecoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetDecoder.cpp
@@ -163,16 +163,24 @@
           .Incarnation_ = Given->incarnation()};
 }
 
+static std::vector<TaskId>
+toTaskIds(const flatbuffers::Vector<const fleetwire::TaskId *> *Given) {
+  std::vector<TaskId> Tasks;
+  if (Given == nullptr)
+    return Tasks;
+  for (const auto *One : *Given)
+    Tasks.push_back({One->job(), One->task()});
+  return Tasks;
+}
+
 static WorkerCrash toCrash(const fleetwire::WorkerCrash &M) {
-  WorkerCrash Given{.Worker_ = fromWire(M.worker()),
-                    .Rack_ = fromWire(M.rack()),
-                    .RackSize_ = M.rack_size(),
-                    .Age_ = {std::max<int64_t>(0, M.age_ms())}};
-  if (M.tasks() == nullptr)
-    return Given;
-  for (const auto *One : *M.tasks())
-    Given.Tasks_.push_back({One->job(), One->task()});
-  return Given;
+  return {.Worker_ = fromWire(M.worker()),
+          .Tasks_ = toTaskIds(M.tasks()),
+          .PossibleTasks_ = toTaskIds(M.possible_tasks()),
+          .IsConfirmed_ = M.is_confirmed(),
+          .Rack_ = fromWire(M.rack()),
+          .RackSize_ = M.rack_size(),
+          .Age_ = {std::max<int64_t>(0, M.age_ms())}};
 }
 
 static CrashNews toCrashNews(const fleetwire::CrashNews &M) {
--- a/transport/marjorambend/src/Transport/FleetEncoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetEncoder.cpp
@@ -177,15 +177,20 @@
     return fleetwire::CreateWorkerIncarnation(B_, text(Given.Worker_),
                                               Given.Incarnation_);
   }
-  auto crash(const WorkerCrash &Given) const {
+  auto taskIds(const std::vector<TaskId> &Given) const {
     std::vector<fleetwire::TaskId> Ids;
-    for (const TaskId &One : Given.Tasks_)
+    for (const TaskId &One : Given)
       Ids.emplace_back(One.Job_, One.Task_);
+    return B_.CreateVectorOfStructs(Ids);
+  }
+  auto crash(const WorkerCrash &Given) const {
     const auto Worker = incarnation(Given.Worker_);
-    const auto Tasks = B_.CreateVectorOfStructs(Ids);
+    const auto Tasks = taskIds(Given.Tasks_);
+    const auto Possible = taskIds(Given.PossibleTasks_);
     const auto Rack = text(Given.Rack_);
     return fleetwire::CreateWorkerCrash(B_, Worker, Tasks, Rack,
-                                        Given.RackSize_, Given.Age_.Count_);
+                                        Given.RackSize_, Given.Age_.Count_,
+                                        Possible, Given.IsConfirmed_);
   }
   FleetBody operator()(const CrashNews &M) const {
     std::vector<flatbuffers::Offset<fleetwire::WorkerCrash>> Crashes;
--- a/transport/test/FleetCodecTests.cpp
+++ b/transport/test/FleetCodecTests.cpp
@@ -31,6 +31,8 @@
 CrashNews sampleNews() {
   return {.Crashes_ = {{.Worker_ = {"w-1", 4711},
                         .Tasks_ = {{0xfedcba9876543210, 7}, {2, 0}},
+                        .PossibleTasks_ = {{3, 1}},
+                        .IsConfirmed_ = true,
                         .Rack_ = "r-1",
                         .RackSize_ = 12,
                         .Age_ = {950}},
@@ -72,6 +74,8 @@
     const WorkerCrash &Crash = Got.Crashes_[Index];
     CHECK(Crash.Worker_ == Expected.Worker_);
     CHECK(Crash.Tasks_ == Expected.Tasks_);
+    CHECK(Crash.PossibleTasks_ == Expected.PossibleTasks_);
+    CHECK_EQUAL(Expected.IsConfirmed_, Crash.IsConfirmed_);
     STRCMP_EQUAL(Expected.Rack_.c_str(), Crash.Rack_.c_str());
     LONGS_EQUAL(Expected.RackSize_, Crash.RackSize_);
     LONGS_EQUAL(Expected.Age_.Count_, Crash.Age_.Count_);
