--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -184,7 +184,7 @@
 
 // The worker has restarted: all runs of the held incarnation are lost.
 static void endIncarnation(FleetStepContext &Ctx, WorkerHold &Hold) {
-  noteCrash(Ctx, Hold);
+  noteRestart(Ctx, Hold);
   loseAllRuns(Ctx, Hold);
   resetForNewIncarnation(Ctx, Hold);
   Hold.NextPollAt_ = Ctx.Now_ + Ctx.State_.Options_.Holder_.RetryDelay_;
--- a/coordination/marjorambend/src/Fleet/Crashes.cpp
+++ b/coordination/marjorambend/src/Fleet/Crashes.cpp
@@ -128,6 +128,22 @@
   addOrphanedTasks(Ctx, Crash);
 }
 
+static void confirmAndSpread(FleetStepContext &Ctx,
+                             const WorkerIncarnation &Worker) {
+  confirmCrash(Ctx.State_.Crashes_, Worker);
+  spreadCrash(Ctx, Worker);
+}
+
+void noteRestart(FleetStepContext &Ctx, WorkerHold &Hold) {
+  noteCrash(Ctx, Hold);
+  const WorkerIncarnation Worker{Hold.Report_.Id_, Hold.Report_.Incarnation_};
+  const auto Crash = Ctx.State_.Crashes_.Crashes_.find(Worker);
+  const bool IsUnconfirmed = Crash != Ctx.State_.Crashes_.Crashes_.end() &&
+                             !Crash->second.IsConfirmed_;
+  if (IsUnconfirmed)
+    confirmAndSpread(Ctx, Worker);
+}
+
 static void withdrawOwnCrash(FleetStepContext &Ctx, WorkerHold &Hold,
                              const WorkerIncarnation &Worker) {
   log(Ctx, "crash_withdrawn", 0,
@@ -144,11 +160,8 @@
   const WorkerIncarnation Alive{Hold.Report_.Id_, Hold.Report_.Incarnation_};
   if (withdrawCrash(Ledger, Alive))
     withdrawOwnCrash(Ctx, Hold, Alive);
-  for (const WorkerIncarnation &Past :
-       unconfirmedCrashesBefore(Ledger, Alive)) {
-    confirmCrash(Ledger, Past);
-    spreadCrash(Ctx, Past);
-  }
+  for (const WorkerIncarnation &Past : unconfirmedCrashesBefore(Ledger, Alive))
+    confirmAndSpread(Ctx, Past);
 }
 
 void handleCrashNews(FleetStepContext &Ctx, const CrashNews &News) {
--- a/coordination/marjorambend/src/Fleet/HoldStep.h
+++ b/coordination/marjorambend/src/Fleet/HoldStep.h
@@ -78,6 +78,8 @@
 /// runs but for \p Survivors; sends this to all instances.
 void noteCrash(FleetStepContext &Ctx, WorkerHold &Hold,
                const std::vector<ListedRun> &Survivors = {});
+/// The same for a worker that is known to have restarted.
+void noteRestart(FleetStepContext &Ctx, WorkerHold &Hold);
 /// Whether the worker runs a task under which another worker has crashed: a
 /// single failed poll is a likely crash then.
 bool hasSuspectRun(const FleetStepContext &Ctx, const WorkerHold &Hold);
--- a/coordination/test/Fleet/CrashTests.cpp
+++ b/coordination/test/Fleet/CrashTests.cpp
@@ -93,6 +93,17 @@
   LONGS_EQUAL(0, crashesOf({7, 0}));
 }
 
+// Another worker answers at the address of the one that has crashed.
+TEST(ATaskThatCrashesItsWorker, CountsIfTheWorkerIsBackUnderAnotherId) {
+  Instance_.handle(patientJob());
+  Instance_.answerStart(OrderResult::Accepted);
+  Instance_.handle(PollAnswered{.Worker_ = "w",
+                                .Poll_ = Instance_.LastPoll_.Poll_,
+                                .Result_ = OrderResult::OtherIncarnation});
+  LONGS_EQUAL(1, crashesOf({7, 0}));
+  CHECK(Instance_.State_.Crashes_.Crashes_.begin()->second.IsConfirmed_);
+}
+
 // Two workers are silent at the same time: the task waits until one of them
 // answers, or is known to have crashed.
 TEST(ATaskThatCrashesItsWorker, WaitsWhileItsCrashesAreInDoubt) {
