--- a/coordination/marjorambend/src/Fleet/CrashLedger.h
+++ b/coordination/marjorambend/src/Fleet/CrashLedger.h
@@ -65,11 +65,11 @@
 
 /// \brief Options for tasks under which workers crash.
 struct CrashOptions {
-  /// Confirmed crashes under a task after which it is given up, without those
-  /// of a rack that has failed. While unconfirmed ones complete this number,
-  /// the task is not started.
+  /// Confirmed crashes under a task after which it is given up; crashes of a
+  /// rack that has failed do not count. While unconfirmed crashes bring the sum
+  /// to this number, the task is not started.
   uint32_t MaxCrashes_ = 2;
-  /// The same, with those.
+  /// The same, if crashes of racks that have failed count as well.
   uint32_t MaxCrashesOfAnyCause_ = 3;
   /// Crashes in one rack within this time may have a common cause.
   Milliseconds RackWindow_{2'000};
@@ -78,11 +78,11 @@
   /// rack.
   double RackShare_ = 0.75;
   uint32_t MinRackCrashes_ = 3;
-  /// Time for which an unconfirmed crash prevents starts; a crashed worker is
-  /// back within seconds.
+  /// Time for which an unconfirmed crash prevents starts; longer than workers
+  /// take to restart.
   Milliseconds DoubtTime_{6'000};
   /// Time after the loss of a holder in which a crash of one of its workers is
-  /// attributed to the tasks that ran there; workers are back within seconds.
+  /// attributed to the tasks that ran there.
   Milliseconds OrphanWindow_{6'000};
   /// Time for which crashes are kept; longer than any caller resubmits a job.
   Milliseconds Retention_{120'000};
