Do not refuse a job as too large while the worker list is out of date

Cause: by review, a job could be told that it fits no worker though larger ones had opened while the list could not be read. Change: such a job waits as before. Result: unit test; module tests pass.

--- a/coordination/marjorambend/src/Fleet/PlacerCapacity.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerCapacity.cpp
@@ -19,7 +19,8 @@
 // The holders' reports may be newer than the list, and the list's capacity is
 // not limited by a rejected start; so a worker counts by the greater of both.
 bool exceedsAllWorkers(const FleetInstance &State, const PlacerJob &Job) {
-  if (!State.HasWorkerList_)
+  // While the list cannot be read, larger workers may have opened.
+  if (!State.HasWorkerList_ || !State.IsListFresh_)
     return false;
   bool HasCandidates = false;
   const auto IsLargeEnough = [&](const WorkerReport &Worker) {
--- a/coordination/marjorambend/src/Scheduling/Overload.h
+++ b/coordination/marjorambend/src/Scheduling/Overload.h
@@ -78,8 +78,8 @@
   /// Retry time while no worker is open or expected; a worker opens about 50 ms
   /// after it is claimed.
   Milliseconds NoWorkersRetryAfter_{800};
-  /// Least retry time of a job that is too large for all workers; a worker's
-  /// report is renewed every 1.5 s and read 0.6 s later.
+  /// Least retry time of a job that is too large for all workers: until their
+  /// next reports have been read.
   Milliseconds TooLargeRetryAfter_{2'100};
 };
 
--- a/coordination/test/Fleet/ShrinkingWorkerTests.cpp
+++ b/coordination/test/Fleet/ShrinkingWorkerTests.cpp
@@ -153,6 +153,14 @@
   CHECK(isRefused(Instance_.advance(20)));
 }
 
+// Larger workers may have opened since.
+TEST(AJobThatFitsNoWorker, WaitsWhileTheListCannotBeRead) {
+  list(20'000);
+  Instance_.handle(WorkersReadFailed{});
+  Instance_.handle(patientJob(7));
+  expectCount<AnswerJob>(0, Instance_.advance(100));
+}
+
 TEST(AJobThatFitsNoWorker, WaitsIfAWorkerIsOnlyFull) {
   submit(7);
   submit(8);
