--- a/transport/marjorambend/src/Transport/FleetEncoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetEncoder.cpp
@@ -179,6 +179,7 @@
   }
   auto taskIds(const std::vector<TaskId> &Given) const {
     std::vector<fleetwire::TaskId> Ids;
+    Ids.reserve(Given.size());
     for (const TaskId &One : Given)
       Ids.emplace_back(One.Job_, One.Task_);
     return B_.CreateVectorOfStructs(Ids);
