--- a/review/harness/Fleet.cpp
+++ b/review/harness/Fleet.cpp
@@ -122,10 +122,12 @@
     const int File = open(Output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(File, STDOUT_FILENO);
     dup2(File, STDERR_FILENO);
-    for (int Other = STDERR_FILENO + 1; Other < 1024; ++Other)
-      close(Other);
+    for (int Open = STDERR_FILENO + 1; Open < 1024; ++Open)
+      close(Open);
     setenv("MARJORAMBEND_NODE_FILE", Settings.c_str(), 1);
-    execl(Program, "marjorambend", "platform", nullptr);
+    const char *Other = std::getenv("REVIEW_PROGRAM");
+    execl(Other == nullptr ? Program : Other, "marjorambend", "platform",
+          nullptr);
     _exit(127);
   }
   Processes_[Name] = Child;
--- a/review/harness/Worker.cpp
+++ b/review/harness/Worker.cpp
@@ -2,15 +2,21 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace marjorambend::review {
 
 // From the deployment's bounds and settings.
 static constexpr int64_t HoldMaxMs = 1'000;
 static constexpr Milliseconds HeartbeatInterval{1'500};
+// A row is removed after three intervals of silence.
+static constexpr Milliseconds RowLifetime{4'500};
 // A stop takes at most 50 ms.
 static constexpr Milliseconds StopTime{20};
 static constexpr Milliseconds TickInterval{5};
+// An order that got no answer is carried out 2 to 12 s later.
+static constexpr Milliseconds MinLateness{2'000};
+static constexpr Milliseconds MaxLateness{12'000};
 static constexpr std::size_t MaxListedEnds = 500;
 static constexpr int64_t MaxWaitMs = 2'000;
 
@@ -35,6 +41,7 @@
   LastEnd_ = 0;
   Ends_.clear();
   OverAttempts_.clear();
+  Expiry_.reset();
   writeRow();
   Server_ = std::make_unique<HttpServer>(
       Loop_,
@@ -47,6 +54,8 @@
       });
   if (!Server_->listen())
     std::abort();
+  Delivery_ = std::make_unique<Timer>(Loop_, Milliseconds{1}, Timer::Mode::Once,
+                                      [this] { deliverHeldUp(); });
   Tick_ = std::make_unique<Timer>(Loop_, TickInterval, Timer::Mode::Repeat,
                                   [this] { tick(); });
   Heartbeat_ = std::make_unique<Timer>(
@@ -57,11 +66,13 @@
   Server_.reset();
   Tick_.reset();
   Heartbeat_.reset();
-  Late_.clear();
   Polls_.clear();
   for (const WorkerRun &One : Runs_)
     Events_.OnEnd_(*this, One, "lost with the worker");
   Runs_.clear();
+  Expiry_ = std::make_unique<Timer>(
+      Loop_, RowWrittenAt_ + RowLifetime - monotonicNow(), Timer::Mode::Once,
+      [this] { Store_.drop("servers", Spec_.Id_); });
 }
 
 void Worker::drain() {
@@ -70,6 +81,7 @@
 }
 
 void Worker::writeRow() {
+  RowWrittenAt_ = monotonicNow();
   Store_.put(
       "servers", Spec_.Id_,
       {{"service", Spec_.Service_},
@@ -102,13 +114,43 @@
       Request.Path_ == "/run-start" || Request.Path_ == "/run-stop";
   if (!IsOrder || Unit(generator()) >= LateShare_)
     return carryOut(Request.Path_, Body, Request.Token_);
-  std::uniform_int_distribution<int64_t> Delay(2'000, 12'000);
+  std::uniform_int_distribution<int64_t> Delay(MinLateness.Count_,
+                                               MaxLateness.Count_);
   Late_.push_back(std::make_unique<Timer>(
       Loop_, Milliseconds{Delay(generator())}, Timer::Mode::Once,
-      [this, Path = Request.Path_, Body] { carryOut(Path, Body, 0); }));
+      [this, Order = HeldUp{Request.Path_, Body, monotonicNow()}] {
+        carryOutLate(Order);
+      }));
+  LateStarts_ += Request.Path_ == "/run-start" ? 1 : 0;
   return std::nullopt;
 }
 
+// The worker has the same id in each life, so that the order is meant for the
+// present one too.
+void Worker::carryOutLate(const HeldUp &Order) {
+  if (!isUp()) {
+    HeldUp_.push_back(Order);
+    return;
+  }
+  LateStarts_ -= Order.Path_ == "/run-start" ? 1 : 0;
+  const Milliseconds Age = monotonicNow() - Order.SentAt_;
+  if (Age > MaxLateness)
+    return;
+  const auto Reply = carryOut(Order.Path_, Order.Body_, 0);
+  if (Events_.OnLate_)
+    Events_.OnLate_(*this,
+                    Order.Path_ + ' ' +
+                        Order.Body_.value("task", std::string()) + " attempt " +
+                        std::to_string(Order.Body_.value("attempt", 0)) + ", " +
+                        std::to_string(Age.Count_) + " ms old",
+                    Reply ? Reply->Status_ : 0);
+}
+
+void Worker::deliverHeldUp() {
+  for (const HeldUp &One : std::exchange(HeldUp_, {}))
+    carryOutLate(One);
+}
+
 std::optional<HttpReply> Worker::carryOut(const std::string &Path,
                                           const Json &Body, uint64_t Token) {
   const auto Fence = Body.value("fencing_token", uint64_t{0});
--- a/review/harness/Worker.h
+++ b/review/harness/Worker.h
@@ -47,6 +47,9 @@
       OnStart_;
   std::function<void(const Worker &, const WorkerRun &, const char *How)>
       OnEnd_;
+  /// An order was carried out late.
+  std::function<void(const Worker &, const std::string &Order, int Status)>
+      OnLate_;
 };
 
 /// \brief Stand-in of a worker, with commands of the kind `invoke`.
@@ -56,7 +59,8 @@
 
   /// \brief Starts the worker: first its row is in the store, then it listens.
   void boot();
-  /// \brief Ends all runs and closes all connections; the row stays.
+  /// \brief Ends all runs and closes all connections; the row stays until it
+  /// expires.
   void crash();
   /// \brief Reports `draining`.
   void drain();
@@ -68,8 +72,12 @@
   const std::vector<WorkerRun> &runs() const { return Runs_; }
   int64_t born() const { return Born_; }
 
+  /// \brief Number of starts that are still to be carried out late.
+  std::size_t lateStarts() const { return LateStarts_; }
+
   /// Share of the orders that are left unanswered and carried out 2 to 12 s
-  /// later.
+  /// later, by whichever life of the worker is up then. One that finds the
+  /// worker down is held up until it listens again, within the 12 s.
   double LateShare_ = 0;
 
 private:
@@ -79,12 +87,19 @@
     int64_t Attempt_ = 0;
     std::string How_;
   };
+  struct HeldUp {
+    std::string Path_;
+    Json Body_;
+    Milliseconds SentAt_;
+  };
   struct Poll {
     uint64_t Token_ = 0;
     Milliseconds Until_;
   };
 
   std::optional<HttpReply> receive(const HttpRequest &Request);
+  void carryOutLate(const HeldUp &Order);
+  void deliverHeldUp();
   std::optional<HttpReply> carryOut(const std::string &Path, const Json &Body,
                                     uint64_t Token);
   HttpReply startRun(const Json &Body);
@@ -106,7 +121,12 @@
   std::unique_ptr<HttpServer> Server_;
   std::unique_ptr<Timer> Tick_;
   std::unique_ptr<Timer> Heartbeat_;
+  std::unique_ptr<Timer> Expiry_;
   std::vector<std::unique_ptr<Timer>> Late_;
+  std::vector<HeldUp> HeldUp_; ///< Late orders that found the worker down.
+  std::unique_ptr<Timer> Delivery_;
+  std::size_t LateStarts_ = 0;
+  Milliseconds RowWrittenAt_;
   Milliseconds BootedAt_;
   int64_t Born_ = 0;
   int64_t Sequence_ = 0;
--- a/review/harness/World.cpp
+++ b/review/harness/World.cpp
@@ -22,7 +22,7 @@
   return Generator();
 }
 
-// The job of a task is told by its text: its ID is not part of an order.
+// A worker learns from the text what a task of the job takes.
 static std::string textOf(const ClientJob &Job) {
   return "job=" + Job.Id_ + " cpu=" + std::to_string(Job.MilliCores_) +
          " mem=" + std::to_string(Job.MemoryMb_) +
@@ -52,6 +52,7 @@
   Prefix_ = findFreePrefix(Hosts);
   if (Prefix_.empty())
     std::exit(2);
+  Record_.write("addresses " + Prefix_ + '*');
   const Endpoint StoreAt{Prefix_ + "1", Ports::Store};
   Store_ = std::make_unique<Store>(Loop_, StoreAt);
   if (!Store_->listen())
@@ -72,7 +73,12 @@
             handleStart(At, Run);
           },
       .OnEnd_ = [this](const Worker &At, const WorkerRun &Run,
-                       const char *How) { handleEnd(At, Run, How); }};
+                       const char *How) { handleEnd(At, Run, How); },
+      .OnLate_ =
+          [this](const Worker &At, const std::string &Order, int Status) {
+            Record_.write(At.spec().Id_ + " carries out late " + Order + ": " +
+                          std::to_string(Status));
+          }};
   for (int Zone = 0; Zone < 3; ++Zone) {
     for (int Index = 1; Index <= InstancesPerZone; ++Index)
       Instances.push_back(
@@ -326,8 +332,9 @@
 void World::handleEnd(const Worker &At, const WorkerRun &Run, const char *How) {
   Record_.write(At.spec().Id_ + " ends " + Run.Task_ + " attempt " +
                 std::to_string(Run.Attempt_) + ": " + How);
-  if (std::string(How) == "done")
-    Jobs_[Run.Task_.substr(0, 16)].Done_.insert(Run.Task_);
+  const auto Known = Jobs_.find(Run.Task_.substr(0, 16));
+  if (Known != Jobs_.end() && std::string(How) == "done")
+    Known->second.Done_.insert(Run.Task_);
 }
 
 void World::finish(int ExitCode) {
