--- a/review/chaos/case.cpp
+++ b/review/chaos/case.cpp
@@ -17,6 +17,7 @@
   std::string Kinds_;
   int64_t EndAt_ = 0;
   std::set<std::string> Busy_;
+  std::map<std::string, int64_t> DrainedAt_;
 
   int64_t between(int64_t Low, int64_t High) {
     return std::uniform_int_distribution<int64_t>(Low, High)(Generator_);
@@ -52,6 +53,8 @@
              .EstimateMs_ = 2000,
              .WorkMs_ = between(1000, 5000),
              .DeadlineMs_ = 12000};
+    // With the letter A jobs have anti-affinity.
+    Job.MaxPerWorker_ = Kinds_.find('A') == std::string::npos ? 0 : 1;
     std::string At = pick();
     for (int Tries = 0; Tries < 10 && !Test_.fleet().isRunning(At); ++Tries)
       At = pick();
@@ -88,11 +91,24 @@
         Test_.record().write(One.spec().Id_ + " crashes");
         One.crash();
         Test_.after(between(50, 3000), [this, &One] {
+          if (One.isUp() || DrainedAt_.contains(One.spec().Id_))
+            return;
           Test_.record().write(One.spec().Id_ + " boots");
           One.boot();
         });
       }
     }
+    if (Kind == 'd') {
+      auto &All = Test_.workers();
+      Worker &One = *All[static_cast<std::size_t>(
+          between(0, static_cast<int64_t>(All.size()) - 1))];
+      if (One.isUp() && !DrainedAt_.contains(One.spec().Id_)) {
+        Test_.record().write(One.spec().Id_ + " drains");
+        One.drain();
+        DrainedAt_[One.spec().Id_] = Test_.record().now();
+        Test_.after(between(3000, 6000), [this, &One] { leave(One); });
+      }
+    }
     if (Kind == 'l') {
       Worker &One = *Test_.workers()[static_cast<std::size_t>(between(0, 11))];
       One.LateShare_ = 0.3;
@@ -100,6 +116,26 @@
     }
     Test_.after(between(150, 2000), [this] { disturb(); });
   }
+  // A drained worker leaves; a while later it starts again.
+  void leave(Worker &One) {
+    if (One.isUp())
+      One.crash();
+    Test_.after(2000, [this, &One] {
+      DrainedAt_.erase(One.spec().Id_);
+      if (!One.isUp())
+        One.boot();
+    });
+  }
+  // `drain_ms`
+  void checkDrain(const Worker &At, const WorkerRun &Run) {
+    const auto Since = DrainedAt_.find(At.spec().Id_);
+    if (Since != DrainedAt_.end() &&
+        Test_.record().now() > Since->second + 2000)
+      Test_.breach("DRAIN",
+                   Run.Task_ + " starts on " + At.spec().Id_ + ", " +
+                       std::to_string(Test_.record().now() - Since->second) +
+                       " ms after it began to drain");
+  }
   void freeze(const std::string &At, int64_t Ms) {
     Busy_.insert(At);
     Test_.fleet().signal(At, SIGSTOP);
@@ -129,6 +165,9 @@
   World Test(Arguments[1], 2, 4);
   Chaos All{Test, std::mt19937(static_cast<unsigned>(std::stoul(Arguments[2]))),
             Arguments[3], std::stoll(Arguments[4]) * 1000};
+  Test.OnStart_ = [&All](const Worker &At, const WorkerRun &Run) {
+    All.checkDrain(At, Run);
+  };
   Test.begin([&] {
     All.submit();
     All.submit();
