--- a/review/chaos/case.cpp
+++ b/review/chaos/case.cpp
@@ -17,6 +17,7 @@
   std::string Kinds_;
   int64_t EndAt_ = 0;
   std::set<std::string> Busy_;
+  std::vector<std::string> Calm_; ///< Jobs of the last 8 s.
   std::map<std::string, int64_t> DrainedAt_;
 
   int64_t between(int64_t Low, int64_t High) {
@@ -58,12 +59,15 @@
     std::string At = pick();
     for (int Tries = 0; Tries < 10 && !Test_.fleet().isRunning(At); ++Tries)
       At = pick();
-    Test_.submit(Job, At);
+    const std::string Id = Test_.submit(Job, At);
+    if (Test_.record().now() > EndAt_ - 8000)
+      Calm_.push_back(Id);
     Test_.after(between(20, 120), [this] { submit(); });
   }
 
   void disturb() {
-    if (Test_.record().now() > EndAt_)
+    // The last 20 s are calm.
+    if (Test_.record().now() > EndAt_ - 20000)
       return;
     const char Kind = Kinds_[static_cast<std::size_t>(
         between(0, static_cast<int64_t>(Kinds_.size()) - 1))];
@@ -98,6 +102,19 @@
         });
       }
     }
+    if (Kind == 'p' || Kind == 'P') {
+      Test_.store().Mode_ =
+          Kind == 'p' ? Store::Mode::Silent : Store::Mode::Busy;
+      Test_.record().write("store down");
+      Test_.after(between(500, 5000), [this] {
+        Test_.store().Mode_ = Store::Mode::Sound;
+        Test_.record().write("store up");
+      });
+    }
+    if (Kind == 'q') {
+      Test_.store().LateShare_ = 0.35;
+      Test_.after(4500, [this] { Test_.store().LateShare_ = 0; });
+    }
     if (Kind == 'd') {
       auto &All = Test_.workers();
       Worker &One = *All[static_cast<std::size_t>(
@@ -188,6 +205,10 @@
       for (const auto &One : Test.fleet().instances())
         if (!Test.fleet().isRunning(One.Name_))
           Test.breach("ENDED", One.Name_);
+      int CalmGood = 0;
+      for (const std::string &Id : All.Calm_)
+        CalmGood += Test.jobs()[Id].Status_ == 200;
+      std::cout << "calm " << CalmGood << " of " << All.Calm_.size() << "; ";
       std::cout << "jobs " << Test.jobs().size() << " good " << Good << " lost "
                 << Lost << " refused " << Refused << " open " << Open
                 << " breaches " << Test.breaches() << '\n';
--- a/review/harness/Store.cpp
+++ b/review/harness/Store.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <openssl/evp.h>
+#include <random>
 
 namespace marjorambend::review {
 
@@ -24,6 +25,19 @@
   return Text.empty() ? 0 : std::stoull(Text);
 }
 
+static std::mt19937_64 &generator() {
+  static std::mt19937_64 Generator(std::random_device{}());
+  return Generator;
+}
+
+static bool isLate(double Share) {
+  return std::uniform_real_distribution<double>(0, 1)(generator()) < Share;
+}
+
+static Milliseconds randomLateness() {
+  return {std::uniform_int_distribution<int64_t>(1'000, 6'000)(generator())};
+}
+
 Store::Store(EventLoop &Loop, const Endpoint &At)
     : Loop_(Loop),
       Server_(
@@ -57,12 +71,22 @@
 }
 
 std::optional<HttpReply> Store::receive(const HttpRequest &Request) {
+  if (Mode_ == Mode::Silent)
+    return std::nullopt;
+  if (Mode_ == Mode::Busy)
+    return jsonReply(503, "{}");
   if (Request.Path_ == "/rows-get")
     return readRows(Request);
   if (Request.Path_ == "/rows-feed")
     return followRows(Request);
   if (Request.Path_ == "/rows-tx") {
     const Json Body = Json::parse(Request.Body_, nullptr, false);
+    if (isLate(LateShare_)) {
+      Late_.push_back(
+          std::make_unique<Timer>(Loop_, randomLateness(), Timer::Mode::Once,
+                                  [this, Body] { transact(Body); }));
+      return std::nullopt;
+    }
     answerLater(Request.Token_,
                 Body.is_object() ? transact(Body) : jsonReply(400, "{}"),
                 TransactionTime);
--- a/review/harness/Store.h
+++ b/review/harness/Store.h
@@ -30,6 +30,12 @@
   /// \brief Removes a row.
   void drop(const std::string &Table, const std::string &Key);
 
+  /// How calls are answered during a disruption.
+  enum class Mode : uint8_t { Sound, Silent, Busy };
+  Mode Mode_ = Mode::Sound;
+  /// Share of the writes that are done 1 to 6 s later and not answered.
+  double LateShare_ = 0;
+
 private:
   struct Row {
     std::string Value_; ///< In base64.
@@ -58,6 +64,7 @@
   EventLoop &Loop_;
   HttpServer Server_;
   std::map<std::pair<std::string, std::string>, Row> Rows_;
+  std::vector<std::unique_ptr<Timer>> Late_;
   uint64_t Version_ = 1;
   uint64_t OldestVersion_ = 0; ///< Earlier history is forgotten.
   std::vector<Feed> Feeds_;
