--- a/review/chaos/case.cpp
+++ b/review/chaos/case.cpp
@@ -179,7 +179,8 @@
 int main(int Count, char **Arguments) {
   if (Count < 5)
     return 2;
-  World Test(Arguments[1], 2, 4);
+  const int PerZone = Count > 5 ? std::stoi(Arguments[5]) : 2;
+  World Test(Arguments[1], PerZone, 4);
   Chaos All{Test, std::mt19937(static_cast<unsigned>(std::stoul(Arguments[2]))),
             Arguments[3], std::stoll(Arguments[4]) * 1000};
   Test.OnStart_ = [&All](const Worker &At, const WorkerRun &Run) {
--- a/review/harness/World.cpp
+++ b/review/harness/World.cpp
@@ -16,6 +16,9 @@
 static constexpr int InstanceHost = 10;
 static constexpr int WorkerHost = 100;
 static constexpr int WorkersPerRack = 8;
+// Further instances of a zone are weak and coordinate nothing.
+static constexpr int StrongPerZone = 3;
+static constexpr double WeakCpuShare = 0.09;
 
 static uint64_t randomNumber() {
   static std::mt19937_64 Generator(std::random_device{}());
@@ -87,7 +90,8 @@
            .Zone_ = Zones[Zone],
            .Address_ =
                Prefix_ + std::to_string(InstanceHost - 1 +
-                                        Zone * InstancesPerZone + Index)});
+                                        Zone * InstancesPerZone + Index),
+           .CpuShare_ = Index > StrongPerZone ? WeakCpuShare : 0.25});
     for (int Index = 0; Index < WorkersPerZone; ++Index) {
       const int Number = Zone * WorkersPerZone + Index;
       Workers_.push_back(std::make_unique<Worker>(
