--- a/review/harness/World.cpp
+++ b/review/harness/World.cpp
@@ -29,7 +29,8 @@
 static std::string textOf(const ClientJob &Job) {
   return "job=" + Job.Id_ + " cpu=" + std::to_string(Job.MilliCores_) +
          " mem=" + std::to_string(Job.MemoryMb_) +
-         " work=" + std::to_string(Job.WorkMs_);
+         " work=" + std::to_string(Job.WorkMs_) +
+         " pad=" + std::string(static_cast<std::size_t>(Job.Padding_), 'x');
 }
 
 static int64_t numberAfter(const std::string &Text, const std::string &Name) {
@@ -190,37 +191,59 @@
       Loop_, Milliseconds{Ms}, Timer::Mode::Once, std::move(Call)));
 }
 
+std::string World::newId() {
+  char Text[17];
+  std::snprintf(Text, sizeof(Text), "%08llx%08llx",
+                static_cast<unsigned long long>(randomNumber() & 0xffffffff),
+                static_cast<unsigned long long>(NextJob_++));
+  return Text;
+}
+
+std::string World::bodyOf(const ClientJob &Job) {
+  Json Phase{{"count", Job.Tasks_},
+             {"cpu", Job.MilliCores_},
+             {"mem_mb", Job.MemoryMb_},
+             {"estimate_ms", Job.EstimateMs_}};
+  if (!Job.Label_.empty())
+    Phase["requirements"] = Job.Label_;
+  if (Job.MaxPerWorker_ != 0)
+    Phase["anti_affinity"] = Job.MaxPerWorker_;
+  return Json{{"spec", textOf(Job)},
+              {"best_effort", true},
+              {"phases", Json::array({Phase})}}
+      .dump();
+}
+
 std::string World::submit(ClientJob Job, const std::string &Instance) {
-  if (Job.Id_.empty()) {
-    char Text[17];
-    std::snprintf(Text, sizeof(Text), "%08llx%08llx",
-                  static_cast<unsigned long long>(randomNumber() & 0xffffffff),
-                  static_cast<unsigned long long>(NextJob_++));
-    Job.Id_ = Text;
-  }
+  if (Job.Id_.empty())
+    Job.Id_ = newId();
   const std::string Id = Job.Id_;
   Jobs_[Id].Job_ = std::move(Job);
   send(Id, Instance);
   return Id;
 }
 
+std::string World::sendByHand(ClientJob &Job, const std::string &Instance) {
+  Job.Id_ = newId();
+  JobRecord &Known = Jobs_[Job.Id_];
+  Known.Job_ = Job;
+  Known.Tries_ = 1;
+  LastInstance_[Job.Id_] = Instance;
+  Record_.write("client sends " + Job.Id_ + " (try 1) to " + Instance);
+  const std::string Body = bodyOf(Job);
+  return "POST /" + Job.Route_ + '/' + Job.Id_ + " HTTP/1.1\r\nHost: " + Host +
+         "\r\nContent-Type: application/json\r\nDeadline-Ms: " +
+         std::to_string(Job.DeadlineMs_) +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
 void World::send(const std::string &Id, const std::string &Instance) {
   JobRecord &Known = Jobs_[Id];
   const ClientJob &Job = Known.Job_;
   ++Known.Tries_;
   Known.Status_.reset();
   LastInstance_[Id] = Instance;
-  Json Phase{{"count", Job.Tasks_},
-             {"cpu", Job.MilliCores_},
-             {"mem_mb", Job.MemoryMb_},
-             {"estimate_ms", Job.EstimateMs_}};
-  if (!Job.Label_.empty())
-    Phase["requirements"] = Job.Label_;
-  if (Job.MaxPerWorker_ != 0)
-    Phase["anti_affinity"] = Job.MaxPerWorker_;
-  const Json Body{{"spec", textOf(Job)},
-                  {"best_effort", true},
-                  {"phases", Json::array({Phase})}};
   Record_.write("client sends " + Id + " (try " + std::to_string(Known.Tries_) +
                 ") to " + Instance);
   Client_->send(
@@ -230,7 +253,7 @@
        .Headers_ = {{"Host", Host},
                     {"Content-Type", "application/json"},
                     {"Deadline-Ms", std::to_string(Job.DeadlineMs_)}},
-       .Body_ = Body.dump(),
+       .Body_ = bodyOf(Job),
        .Timeout_ = {Job.DeadlineMs_}},
       [this, Id](const HttpResult &Result) { finishTry(Id, Result); });
 }
--- a/review/harness/World.h
+++ b/review/harness/World.h
@@ -21,6 +21,7 @@
   std::string Label_;    ///< `requirements`
   int MaxPerWorker_ = 0; ///< `anti_affinity`
   int64_t DeadlineMs_ = 1'500;
+  int Padding_ = 0; ///< Further bytes of `spec`.
   /// Whether the client sends it again after no response, 502 or 504.
   bool IsResent_ = true;
   int MaxTries_ = 4;
@@ -61,6 +62,13 @@
   void after(int64_t Ms, std::function<void()> Call);
   /// \brief Submits a job to an instance; returns its ID.
   std::string submit(ClientJob Job, const std::string &Instance);
+  /// \brief Notes a job as sent for the first time, by the test itself, and
+  /// returns the text of its request.
+  std::string sendByHand(ClientJob &Job, const std::string &Instance);
+  /// \brief Sends a job again, to an instance.
+  void sendAgain(const std::string &Id, const std::string &Instance) {
+    send(Id, Instance);
+  }
   /// \brief Cancels a job at an instance.
   void cancel(const std::string &Id, const std::string &Instance);
   /// \brief Ends the run.
@@ -76,6 +84,8 @@
   std::function<void(const Worker &, const WorkerRun &)> OnStart_;
 
 private:
+  static std::string bodyOf(const ClientJob &Job);
+  std::string newId();
   void send(const std::string &Id, const std::string &Instance);
   void handleEnd(const Worker &At, const WorkerRun &Run, const char *How);
   void finishTry(const std::string &Id, const HttpResult &Result);
