Send a new placer the reservations before the requests

The new placer places on receipt of a request, when it knows of no task of the job on any worker.

The origin now sends the reservations of all its jobs and then the requests. Sessions deliver in order, so a placer that handles a request knows every reservation of that origin. The first start after a change of the placer is not delayed.

--- a/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerChoice.cpp
@@ -7,36 +7,47 @@
 
 namespace marjorambend::internal {
 
-// Moves waiting tasks and reservations to the new placer.
-static void moveToNewPlacer(FleetStepContext &Ctx, Incarnation Previous) {
-  const bool IsPreviousReachable = isReachable(Ctx.State_, Previous);
-  for (auto &[Number, Job] : Ctx.State_.Jobs_) {
-    const std::vector<uint32_t> Waiting = waitingTasks(Job);
-    if (!Waiting.empty() && IsPreviousReachable)
-      sendMessage(Ctx, Previous, PlaceWithdraw{Number});
-    if (!Waiting.empty())
-      requestWorkers(Ctx, Job, Waiting);
-    for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
-      OriginTask &Task = Job.Tasks_[Index];
-      if (Task.Phase_ != OriginTaskPhase::Dispatched)
-        continue;
-      if (isReachable(Ctx.State_, Task.Placer_))
-        sendMessage(Ctx, Task.Placer_,
-                    PlaceRelease{Number, Index, RunEnd::Done});
-      Task.Placer_ = Ctx.State_.Placer_;
-      const TaskId Id{Job.Submission_.Id_, Index};
-      sendMessage(
-          Ctx, Task.Placer_,
-          PlaceAdopt{.Job_ = Number,
-                     .Task_ = Index,
-                     .Worker_ = Task.Worker_,
-                     .Needs_ = Job.Submission_.Needs_,
-                     .IsSuspect_ = isSuspect(Ctx.State_.Crashes_, Id,
-                                             Ctx.State_.Options_.Crashes_)});
-    }
+static void moveReservations(FleetStepContext &Ctx, OriginJob &Job) {
+  for (uint32_t Index = 0; Index < Job.Tasks_.size(); ++Index) {
+    OriginTask &Task = Job.Tasks_[Index];
+    if (Task.Phase_ != OriginTaskPhase::Dispatched)
+      continue;
+    if (isReachable(Ctx.State_, Task.Placer_))
+      sendMessage(Ctx, Task.Placer_,
+                  PlaceRelease{Job.Number_, Index, RunEnd::Done});
+    Task.Placer_ = Ctx.State_.Placer_;
+    const TaskId Id{Job.Submission_.Id_, Index};
+    sendMessage(
+        Ctx, Task.Placer_,
+        PlaceAdopt{.Job_ = Job.Number_,
+                   .Task_ = Index,
+                   .Worker_ = Task.Worker_,
+                   .Needs_ = Job.Submission_.Needs_,
+                   .IsSuspect_ = isSuspect(Ctx.State_.Crashes_, Id,
+                                           Ctx.State_.Options_.Crashes_)});
   }
 }
 
+static void moveWaitingTasks(FleetStepContext &Ctx, OriginJob &Job,
+                             Incarnation Previous) {
+  const std::vector<uint32_t> Waiting = waitingTasks(Job);
+  if (Waiting.empty())
+    return;
+  if (isReachable(Ctx.State_, Previous))
+    sendMessage(Ctx, Previous, PlaceWithdraw{Job.Number_});
+  requestWorkers(Ctx, Job, Waiting);
+}
+
+// Sends the reservations of all jobs before the first request: the new placer
+// places tasks on receipt of a request, and would otherwise exceed the limit of
+// tasks on one worker and the free resources.
+static void moveToNewPlacer(FleetStepContext &Ctx, Incarnation Previous) {
+  for (auto &[Number, Job] : Ctx.State_.Jobs_)
+    moveReservations(Ctx, Job);
+  for (auto &[Number, Job] : Ctx.State_.Jobs_)
+    moveWaitingTasks(Ctx, Job, Previous);
+}
+
 void choosePlacer(FleetStepContext &Ctx) {
   FleetInstance &State = Ctx.State_;
   const InstanceInfo *Best =
--- a/coordination/test/Simulation/FleetPromises.cpp
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -102,6 +102,26 @@
   return Options;
 }
 
+/// Wide jobs whose tasks need different workers, under the faults of
+/// standInRun. Most of their tasks wait, so that each change of the placer
+/// finds some of a job's tasks running and others waiting.
+static FleetSimulationOptions limitedRun(uint64_t Seed) {
+  FleetSimulationOptions Options = standInRun(Seed);
+  auto UpTo = makeCountGenerator(Seed ^ 0x94D049BB133111EBULL);
+  Options.CpuShares_ = {500, 400, 300, 90, 90};
+  Options.Kinds_ = {{.Name_ = "liquidacion",
+                     .Priority_ = 2,
+                     .PerSecond_ = 3,
+                     .MeanTasks_ = 10,
+                     .MaxTasks_ = 16,
+                     .MeanRunTime_ = 500,
+                     .MaxRunTime_ = 900,
+                     .MeanMilliCores_ = 8'000,
+                     .Worth_ = 0.16,
+                     .MaxPerWorker_ = 1 + UpTo(1)}};
+  return Options;
+}
+
 using OptionsMaker = FleetSimulationOptions (*)(uint64_t Seed);
 
 /// Fails a property with the seed and its violations, if there are any.
@@ -138,10 +158,12 @@
   const bool IsBrief = std::getenv("MARJORAMBEND_BRIEF") != nullptr;
   const bool IsStandIn = std::getenv("MARJORAMBEND_STAND_IN") != nullptr;
   const bool IsShrink = std::getenv("MARJORAMBEND_SHRINK") != nullptr;
-  FleetSimulationOptions Options = IsStandIn  ? standInRun(SeedNumber)
-                                   : IsShrink ? shrinkRun(SeedNumber)
-                                   : IsBrief  ? briefRun(SeedNumber)
-                                              : allFaults(SeedNumber);
+  const bool IsLimited = std::getenv("MARJORAMBEND_LIMITED") != nullptr;
+  FleetSimulationOptions Options = IsStandIn   ? standInRun(SeedNumber)
+                                   : IsShrink  ? shrinkRun(SeedNumber)
+                                   : IsLimited ? limitedRun(SeedNumber)
+                                   : IsBrief   ? briefRun(SeedNumber)
+                                               : allFaults(SeedNumber);
   Options.IgnoresOrdersBeforeAnyPoll_ =
       std::getenv("MARJORAMBEND_STRICT") == nullptr;
   STRCMP_EQUAL("", violationsIn(Options).c_str());
@@ -177,6 +199,16 @@
   }));
 }
 
+// Guards against a new placer that places waiting tasks before it knows where
+// the other tasks of their jobs run.
+TEST(FleetPromises_, NoWorkerRunsMoreTasksOfAJobThanItMay) {
+  CHECK(rc::check("the limit of tasks on one worker holds", [] {
+    const auto Seed = *rc::gen::noShrink(
+        rc::gen::resize(100, rc::gen::arbitrary<uint64_t>()));
+    requireNoViolations(Seed, limitedRun);
+  }));
+}
+
 // Seeds that failed once, with the cause. They guard against a regression.
 TEST(FleetPromises_, WorldsThatHaveFailedBefore) {
   for (const uint64_t Seed :
--- a/coordination/test/Simulation/FleetSimulation.cpp
+++ b/coordination/test/Simulation/FleetSimulation.cpp
@@ -472,6 +472,20 @@
     reportViolation("start for job " + formatHex(Run.Job_) + " after its end");
 }
 
+// Also covers orders that are carried out late: the users' rule on this limit
+// has no exception for them.
+void FleetSimulation::checkTasksPerWorker(const SimWorker &Worker,
+                                          const RunId &Run) {
+  const uint32_t Max = Callers_.at(Run.Job_).Job_.MaxPerWorker_;
+  const auto Count = std::count_if(
+      Worker.Runs_.begin(), Worker.Runs_.end(),
+      [&Run](const SimRun &One) { return One.Id_.Job_ == Run.Job_; });
+  if (Max != 0 && Count > static_cast<std::ptrdiff_t>(Max))
+    reportViolation(std::to_string(Count) + " tasks of job " +
+                    formatHex(Run.Job_) + " run on " + Worker.Report_.Id_ +
+                    ", which may run " + std::to_string(Max));
+}
+
 void FleetSimulation::performStart(std::size_t Index, const StartRun &Start) {
   const uint64_t Epoch = Nodes_[Index].Epoch_;
   const auto Answer = [this, Index, Epoch,
@@ -500,6 +514,7 @@
                        Now_);
         if (Worker.Runs_.size() > Before) {
           recordStart(Worker, Start.Run_);
+          checkTasksPerWorker(Worker, Start.Run_);
           checkCapacity(Index, Worker);
         }
         if (Result != OrderResult::Accepted)
@@ -642,16 +657,16 @@
       const double Cores =
           std::clamp(logNormal(Generator_, Of.MeanMilliCores_, 0.2), 1'000.0,
                      Of.MeanMilliCores_ * 1.5);
-      Requester.Job_ = {
-          .Id_ = Requester.Id_,
-          .Host_ = "host",
-          .Path_ = "/" + Of.Name_ + "/",
-          .Spec_ = "spec",
-          .Tasks_ = Tasks,
-          .Needs_ = {static_cast<int64_t>(Cores), 64, 0},
-          .Estimate_ = {std::max<int64_t>(
-              1, static_cast<int64_t>(
-                     logNormal(Generator_, Run, Options_.EstimateError_)))}};
+      Requester.Job_ = {.Id_ = Requester.Id_,
+                        .Host_ = "host",
+                        .Path_ = "/" + Of.Name_ + "/",
+                        .Spec_ = "spec",
+                        .Tasks_ = Tasks,
+                        .Needs_ = {static_cast<int64_t>(Cores), 64, 0},
+                        .Estimate_ = {std::max<int64_t>(
+                            1, static_cast<int64_t>(logNormal(
+                                   Generator_, Run, Options_.EstimateError_)))},
+                        .MaxPerWorker_ = Of.MaxPerWorker_};
       Requester.Work_ *= Cores;
       Requester.Objective_ = {
           static_cast<int64_t>(Longest * ObjectiveStretch + TargetLatency)};
--- a/coordination/test/Simulation/FleetSimulation.h
+++ b/coordination/test/Simulation/FleetSimulation.h
@@ -28,6 +28,7 @@
   double MaxRunTime_ = 0;
   double MeanMilliCores_ = 0;
   double Worth_ = 0; ///< Of a job of mean size that is answered in time.
+  uint32_t MaxPerWorker_ = 0; ///< Tasks of a job on one worker; 0: no limit.
 };
 
 /// \brief Multiplies the arrival rate during an interval.
@@ -215,6 +216,7 @@
   void performStop(std::size_t Index, const StopRun &Stop);
   void performPoll(std::size_t Index, const PollWorker &Poll);
   void recordStart(SimWorker &Worker, const RunId &Run);
+  void checkTasksPerWorker(const SimWorker &Worker, const RunId &Run);
   SimWorker *findWorker(const std::string &Id);
   void listWorkers();
 
