Release the reservation of the rejected placement, not of the running task

If the placer changes and changes back while an answer is under way, the origin accepts the first placement of a task and rejects the second one. The rejection named only the task, so the placer released the reservation that it found first: that of the running task. Until the run ended, its worker counted as free, and another task of the job could be placed there beyond the limit of tasks on one worker.

A rejection now names the worker. The new test failed before: the reservation of the running task was gone.

--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -72,6 +72,10 @@
   uint64_t Job_ = 0;
   uint32_t Task_ = 0;
   RunEnd End_ = RunEnd::Done;
+  /// Set if the origin rejects a placement: the task may have another
+  /// reservation then, if the placer has changed and changed back. Empty
+  /// otherwise, to save bytes between data centres.
+  std::string Worker_;
 };
 
 /// \brief Assigns a task to a worker.
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -385,7 +385,8 @@
       addUnreachableHolder(*Job, Place.Holder_);
     }
     sendMessage(Ctx, From,
-                PlaceRelease{Message.Job_, Place.Task_, RunEnd::NotStarted});
+                PlaceRelease{Message.Job_, Place.Task_, RunEnd::NotStarted,
+                             Place.Worker_});
   }
   if (!Orders.empty())
     sendStartOrders(Ctx, *Job, std::move(Orders));
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -185,7 +185,10 @@
   PlacerJob &Job = Found->second;
   const auto One = std::find_if(
       Job.Reservations_.begin(), Job.Reservations_.end(),
-      [&Place](const Reservation &R) { return R.Task_ == Place.Task_; });
+      [&Place](const Reservation &R) {
+        return R.Task_ == Place.Task_ &&
+               (Place.Worker_.empty() || R.Worker_ == Place.Worker_);
+      });
   if (One == Job.Reservations_.end())
     return;
   const auto Worker = Placer.Workers_.find(One->Worker_);
--- a/coordination/test/Fleet/PlacerChangeTests.cpp
+++ b/coordination/test/Fleet/PlacerChangeTests.cpp
@@ -107,3 +107,45 @@
   }
   expectReservationsFirst(Origin_.handle(InstanceDown{Before}));
 }
+
+/// If the placer changes and changes back, an answer that was under way is
+/// still accepted, and the second placement of the same task is rejected.
+/// Guards against a release of the reservation of the running task, after which
+/// another task of the job is placed on its worker.
+TEST_GROUP(ARejectedPlacement) {
+  InstanceFixture Placer_;
+
+  static constexpr Incarnation Origin{80};
+
+  void setup() override {
+    Placer_.openWorker();
+    Placer_.connectPeer(Origin.Value_);
+  }
+  FleetActions request(uint32_t Task) {
+    return Placer_.handle(
+        MessageReceived{Origin, PlaceRequest{.Job_ = 1,
+                                             .Id_ = 1,
+                                             .Route_ = "r",
+                                             .Service_ = "service",
+                                             .Tasks_ = {Task},
+                                             .Needs_ = {1'000, 64, 0},
+                                             .Estimate_ = {100},
+                                             .ObjectiveIn_ = {1'000},
+                                             .GiveUpIn_ = {2'000},
+                                             .MaxPerWorker_ = 1}});
+  }
+  std::vector<Reservation> reservations() {
+    return Placer_.State_.Placing_.Jobs_.at({Origin, 1}).Reservations_;
+  }
+};
+
+TEST(ARejectedPlacement, LeavesTheReservationOfTheRunningTask) {
+  request(0);
+  LONGS_EQUAL(1, reservations().size());
+  PlacerJob &Job = Placer_.State_.Placing_.Jobs_.at({Origin, 1});
+  Job.Reservations_.push_back({0, "other", {1'000, 64, 0}});
+  Placer_.handle(
+      MessageReceived{Origin, PlaceRelease{1, 0, RunEnd::NotStarted, "other"}});
+  LONGS_EQUAL(1, reservations().size());
+  STRCMP_EQUAL("w", reservations().front().Worker_.c_str());
+}
--- a/transport/marjorambend/src/Transport/FleetDecoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetDecoder.cpp
@@ -219,7 +219,8 @@
     return PlaceWithdraw{Frame.body_as_PlaceWithdraw()->job()};
   case fleetwire::Body::PlaceRelease: {
     const auto &M = *Frame.body_as_PlaceRelease();
-    return PlaceRelease{M.job(), M.task(), toEnd(M.end())};
+    return PlaceRelease{M.job(), M.task(), toEnd(M.end()),
+                        fromWire(M.worker())};
   }
   case fleetwire::Body::PlaceAdopt: {
     const auto &M = *Frame.body_as_PlaceAdopt();
--- a/transport/marjorambend/src/Transport/FleetEncoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetEncoder.cpp
@@ -106,9 +106,12 @@
             fleetwire::CreatePlaceWithdraw(B_, M.Job_).Union()};
   }
   FleetBody operator()(const PlaceRelease &M) const {
+    const auto Worker = M.Worker_.empty()
+                            ? flatbuffers::Offset<flatbuffers::String>()
+                            : text(M.Worker_);
     return {fleetwire::Body::PlaceRelease,
             fleetwire::CreatePlaceRelease(B_, M.Job_, M.Task_,
-                                          static_cast<uint8_t>(M.End_))
+                                          static_cast<uint8_t>(M.End_), Worker)
                 .Union()};
   }
   FleetBody operator()(const PlaceAdopt &M) const {
--- a/transport/test/FleetCodecTests.cpp
+++ b/transport/test/FleetCodecTests.cpp
@@ -100,6 +100,9 @@
   CHECK(Request.IsStarted_);
   CHECK((Request.Tasks_ == std::vector<uint32_t>{0, 3}));
   CHECK(Request.Avoid_ == sampleRequest().Avoid_);
+  STRCMP_EQUAL(
+      "w1",
+      roundTrip(PlaceRelease{1, 2, RunEnd::NotStarted, "w1"}).Worker_.c_str());
   const PlaceAdopt Adoption = roundTrip(sampleAdoption());
   CHECK(Adoption.IsSuspect_);
   LONGS_EQUAL(3, Adoption.Task_);
