Let holders observe the limit of tasks on one worker

A placer may lack reservations even if each origin sends them first: two placers are believed in for some hundred milliseconds, or an origin that was slow changes its choice twice at once. Callers then saw more tasks of a job on one worker than they allow.

The holder knows all runs of a worker, whoever placed them, so it now rejects a start beyond the limit as not started; the origin asks for another worker. Start orders carry the limit, which costs no bytes for jobs without one.

Weighed instead: a new placer that waits until each origin has sent all of its reservations. It would delay the first start after each change by the slowest origin, and would not help while two placers are believed in.

The new test of AWorkerThatIsHeld fails without the check.

--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -121,6 +121,7 @@
   Milliseconds Estimate_;
   std::string Spec_;
   std::vector<OrderedRun> Runs_;
+  uint32_t MaxPerWorker_ = 0; ///< Tasks of the job on one worker; 0: no limit.
 };
 
 /// \brief Asks the holder of a worker to stop a run.
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -239,6 +239,19 @@
                               .LeaseEnd_ = leaseEnd(Ctx, Hold)});
 }
 
+// The placer observes the limit as well, but may lack a reservation: one that
+// another placer made while both were believed in, or one that its origin
+// released before it learnt that the run goes on.
+static bool runsMaxTasks(const WorkerHold &Hold, uint64_t Job,
+                         uint32_t MaxPerWorker) {
+  if (MaxPerWorker == 0)
+    return false;
+  const auto Count = std::count_if(
+      Hold.Runs_.begin(), Hold.Runs_.end(),
+      [Job](const auto &Entry) { return Entry.first.Job_ == Job; });
+  return Count >= static_cast<std::ptrdiff_t>(MaxPerWorker);
+}
+
 static void startRun(FleetStepContext &Ctx, Incarnation Origin,
                      const StartOrder &Order, const OrderedRun &Wanted) {
   WorkerHold *Found = findHold(Ctx.State_, Wanted.Worker_);
@@ -257,6 +270,11 @@
                 "the worker takes no new runs");
     return;
   }
+  if (runsMaxTasks(Hold, Wanted.Run_.Job_, Order.MaxPerWorker_)) {
+    refuseStart(Ctx, Origin, Order.Job_, Wanted,
+                "the worker runs as many tasks of the job as it may");
+    return;
+  }
   if (!fits(Order.Needs_, usableCapacity(Hold) - Hold.Used_)) {
     refuseStart(Ctx, Origin, Order.Job_, Wanted, "no room");
     return;
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -344,6 +344,7 @@
     Order.Needs_ = Job.Submission_.Needs_;
     Order.Estimate_ = Job.Submission_.Estimate_;
     Order.Spec_ = Job.Submission_.Spec_;
+    Order.MaxPerWorker_ = Job.Submission_.MaxPerWorker_;
     sendMessage(Ctx, Holder, std::move(Order));
   }
 }
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -34,6 +34,22 @@
   LONGS_EQUAL(1, Instance_.LastPoll_.AckedThrough_);
 }
 
+// Guards against a placer that lacks the reservation of a running task.
+TEST(AWorkerThatIsHeld, RunsNoMoreTasksOfAJobThanItMay) {
+  startTask();
+  Instance_.connectPeer(2);
+  StartOrder Order = orderOf({7, 1, 1});
+  Order.MaxPerWorker_ = 1;
+  const FleetActions Actions = Instance_.handle(MessageReceived{{2}, Order});
+  expectCount<StartRun>(0, Actions);
+  const auto Sent = actionsOf<SendMessage>(Actions);
+  LONGS_EQUAL(1, Sent.size());
+  CHECK(std::get<RunEnded>(Sent[0].Message_).End_ == RunEnd::NotStarted);
+  Order.Runs_ = {{{7, 2, 1}, "w"}};
+  Order.MaxPerWorker_ = 2;
+  expectCount<StartRun>(1, Instance_.handle(MessageReceived{{2}, Order}));
+}
+
 TEST(AWorkerThatIsHeld, IsFencedOffAndEmptiedBeforeItTakesWork) {
   InstanceFixture Other;
   Other.handle(WorkersRead{{InstanceFixture::worker()}});
--- a/coordination/test/Simulation/FleetPromises.cpp
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -262,6 +262,14 @@
   }
 }
 
+TEST(FleetPromises_, LimitedWorldsThatHaveFailedBefore) {
+  for (const uint64_t Seed :
+       {// Placer lacked reservations of an origin that had been slow.
+        62ULL, 319ULL}) {
+    STRCMP_EQUAL("", violationsIn(limitedRun(Seed)).c_str());
+  }
+}
+
 static bool isDetected(InjectedFleetBug Bug, OptionsMaker MakeOptions) {
   for (uint64_t Seed = 1; Seed <= 150; ++Seed) {
     FleetSimulationOptions Options = MakeOptions(Seed);
--- a/transport/marjorambend/src/Transport/FleetDecoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetDecoder.cpp
@@ -126,7 +126,8 @@
   StartOrder Given{.Job_ = M.job(),
                    .Needs_ = fromWire(M.needs()),
                    .Estimate_ = {M.estimate_ms()},
-                   .Spec_ = fromWire(M.spec())};
+                   .Spec_ = fromWire(M.spec()),
+                   .MaxPerWorker_ = M.max_per_worker()};
   if (M.runs() == nullptr)
     return Given;
   for (const auto *One : *M.runs())
--- a/transport/marjorambend/src/Transport/FleetEncoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetEncoder.cpp
@@ -149,7 +149,7 @@
     const fleetwire::Room Needs = toWire(M.Needs_);
     return {fleetwire::Body::StartOrder,
             fleetwire::CreateStartOrder(B_, M.Job_, &Needs, M.Estimate_.Count_,
-                                        Spec, All)
+                                        Spec, All, M.MaxPerWorker_)
                 .Union()};
   }
   FleetBody operator()(const ConfigFreshness &M) const {
