Read the factor for remote data from the settings file

Cause: Placement.cpp assumed a factor of 2.0 on the run time of a task whose data is in another rack, while the platform's settings file specifies 1.5, 2 or 3 as bounds.remote_factor.

Change: the factor is PlacerOptions::RemoteFactor_, 2.0 by default. The expected run time of a candidate is computed once instead of twice per choice.

Measured: module_tests (218) and platform_tests (63) pass. With the constant 2.0 in the code, AWorkerForATask.IsRemoteOnlyIfFasterByTheConfiguredFactor fails.

--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -87,6 +87,9 @@
   /// Run times that differ by less than this share count as equal; the measured
   /// slowness fluctuates by about this much.
   double RunTimeTolerance_ = 0.35;
+  /// Factor on the run time of a task whose data is in another rack; the
+  /// platform's `bounds.remote_factor`.
+  double RemoteFactor_ = 2.0;
   /// Time by which each priority class moves a job ahead. It is the slack of
   /// the users' shortest jobs, so that priority decides between jobs with
   /// similar slack and does not starve the others.
--- a/coordination/marjorambend/src/Fleet/Placement.cpp
+++ b/coordination/marjorambend/src/Fleet/Placement.cpp
@@ -9,9 +9,6 @@
 namespace marjorambend {
 namespace internal {
 
-// Factor on the run time of a task whose data is in another rack; the
-// platform's `remote_factor` is 1.5 to 2.
-static constexpr double RemoteDataFactor = 2.0;
 // Ratio between the bounds of a slowness bucket; the width is about a third of
 // PlacerOptions::RunTimeTolerance_.
 static constexpr double SlownessBucketRatio = 1.1;
@@ -43,11 +40,11 @@
 }
 
 Milliseconds expectedRunTime(const PlacerJob &Job, const PlacerWorker &Worker,
-                             double MedianSlowness) {
+                             double MedianSlowness, double RemoteFactor) {
   double Factor = Worker.Held_.Slowness_ / MedianSlowness;
   if (!Job.Request_.DataRack_.empty() &&
       !internal::hasLabel(Worker.Held_, Job.Request_.DataRack_))
-    Factor *= internal::RemoteDataFactor;
+    Factor *= RemoteFactor;
   return {static_cast<int64_t>(
       static_cast<double>(Job.Request_.Estimate_.Count_) * Factor)};
 }
@@ -55,20 +52,14 @@
 namespace internal {
 
 static bool canStartNow(const PlacerWorker &Worker, const std::string &Id,
-                        const TaskRequirements &Requirements,
-                        Milliseconds Now) {
-  const PlacerJob &Job = Requirements.Job_;
+                        const PlacerJob &Job, Milliseconds Now) {
   const Room Free = Worker.Held_.Report_.Capacity_ - Worker.Reserved_;
   const std::vector<Incarnation> &Avoid = Job.Request_.Avoid_;
   if (std::find(Avoid.begin(), Avoid.end(), Worker.Holder_) != Avoid.end())
     return false;
-  if (!fits(Job.Request_.Needs_, Free) || !Worker.Held_.IsOpen_ ||
-      Worker.BackOffUntil_ > Now || !isEligible(Job, Worker) ||
-      hasMaxTasks(Job, Id))
-    return false;
-  return !Requirements.LatestEnd_ ||
-         Now + expectedRunTime(Job, Worker, Requirements.MedianSlowness_) <=
-             *Requirements.LatestEnd_;
+  return fits(Job.Request_.Needs_, Free) && Worker.Held_.IsOpen_ &&
+         Worker.BackOffUntil_ <= Now && isEligible(Job, Worker) &&
+         !hasMaxTasks(Job, Id);
 }
 
 } // namespace internal
@@ -133,22 +124,32 @@
 
 using WorkerEntry = std::map<std::string, PlacerWorker>::iterator;
 
-/// \brief Workers that can start a task now.
+/// \brief A worker that can start a task now.
+struct Candidate {
+  WorkerEntry Worker_;
+  Milliseconds Run_; ///< Expected run time of the task there.
+};
+
+/// \brief Workers that can start a task now and end it in time.
 struct Candidates {
   PlacerState &Placing_;
   const TaskRequirements &Requirements_;
+  const PlacerOptions &Options_;
   Milliseconds Now_;
-  std::vector<WorkerEntry> Available_;
+  std::vector<Candidate> Available_;
   Milliseconds ShortestRunTime_{INT64_MAX};
 
   bool add(const std::string &Id) {
     const auto It = Placing_.Workers_.find(Id);
-    if (!canStartNow(It->second, Id, Requirements_, Now_))
+    if (!canStartNow(It->second, Id, Requirements_.Job_, Now_))
       return false;
-    Available_.push_back(It);
-    ShortestRunTime_ = std::min(ShortestRunTime_,
-                                expectedRunTime(Requirements_.Job_, It->second,
-                                                Requirements_.MedianSlowness_));
+    const Milliseconds Run =
+        expectedRunTime(Requirements_.Job_, It->second,
+                        Requirements_.MedianSlowness_, Options_.RemoteFactor_);
+    if (Requirements_.LatestEnd_ && Now_ + Run > *Requirements_.LatestEnd_)
+      return false;
+    Available_.push_back({It, Run});
+    ShortestRunTime_ = std::min(ShortestRunTime_, Run);
     return true;
   }
   void addBestFit(const WorkersByFreeCores &Workers) {
@@ -199,7 +200,7 @@
 chooseWorker(PlacerState &Placer, const TaskRequirements &Requirements,
              const PlacerOptions &Options, Milliseconds Now) {
   const PlacerJob &Job = Requirements.Job_;
-  internal::Candidates Found{Placer, Requirements, Now, {}};
+  internal::Candidates Found{Placer, Requirements, Options, Now, {}};
   if (!Job.Request_.Label_.empty()) {
     internal::addLabelled(Found, Job.Request_.Label_);
   } else {
@@ -211,9 +212,7 @@
                        (1.0 + Options.RunTimeTolerance_);
   auto Best = Placer.Workers_.end();
   std::pair<bool, int64_t> BestRank; // in another data centre, free cores
-  for (const auto It : Found.Available_) {
-    const Milliseconds Run =
-        expectedRunTime(Job, It->second, Requirements.MedianSlowness_);
+  for (const auto &[It, Run] : Found.Available_) {
     if (static_cast<double>(Run.Count_) > Similar)
       continue;
     const WorkerReport &Report = It->second.Held_.Report_;
@@ -231,10 +230,9 @@
 std::map<std::string, PlacerWorker>::iterator
 chooseIsolatedWorker(PlacerState &Placer, const PlacerJob &Job,
                      const std::set<std::string> &Avoid, Milliseconds Now) {
-  const TaskRequirements Requirements{.Job_ = Job};
   auto Best = Placer.Workers_.end();
   for (auto It = Placer.Workers_.begin(); It != Placer.Workers_.end(); ++It) {
-    if (!internal::canStartNow(It->second, It->first, Requirements, Now))
+    if (!internal::canStartNow(It->second, It->first, Job, Now))
       continue;
     const auto Rank = [&Avoid](const PlacerWorker &Worker) {
       const auto &Labels = Worker.Held_.Report_.Labels_;
--- a/coordination/marjorambend/src/Fleet/Placement.h
+++ b/coordination/marjorambend/src/Fleet/Placement.h
@@ -21,8 +21,9 @@
 };
 
 /// \brief Expected run time of a task of \p Job on \p Worker.
+/// \param RemoteFactor \sa PlacerOptions::RemoteFactor_
 Milliseconds expectedRunTime(const PlacerJob &Job, const PlacerWorker &Worker,
-                             double MedianSlowness);
+                             double MedianSlowness, double RemoteFactor);
 
 /// \brief Chooses a worker with enough free resources: the shortest expected
 /// run time first, among similar ones a worker in the caller's data centre,
--- a/coordination/test/Fleet/PlacementTests.cpp
+++ b/coordination/test/Fleet/PlacementTests.cpp
@@ -87,6 +87,21 @@
   STRCMP_EQUAL("home", choose().c_str());
 }
 
+// Guards against a fixed factor: at 1.5 the remote worker is faster, at 3 the
+// local one is, and the deadline applies to the remote run time.
+TEST(AWorkerForATask, IsRemoteOnlyIfFasterByTheConfiguredFactor) {
+  addWorker("away", 1.0, 64'000);
+  addWorker("home", 2.2, 64'000).Held_.Report_.Labels_ = {"r1"};
+  Job_.Request_.DataRack_ = "r1";
+  Options_.RunTimeTolerance_ = 0;
+  Options_.RemoteFactor_ = 1.5;
+  STRCMP_EQUAL("away", choose().c_str());
+  STRCMP_EQUAL("away", choose(Milliseconds{150}).c_str());
+  Options_.RemoteFactor_ = 3.0;
+  STRCMP_EQUAL("home", choose().c_str());
+  STRCMP_EQUAL("none", choose(Milliseconds{150}).c_str());
+}
+
 TEST(AWorkerForATask, IsNotOneOfAHolderThatItsOriginCannotReach) {
   addWorker("a", 1.0, 64'000).Holder_ = {6};
   Job_.Request_.Avoid_ = {{6}};
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -28,6 +28,10 @@
   return (static_cast<uint64_t>(Source()) << 32U) | Source();
 }
 
+static double remoteFactorOf(const PlatformSettings &Settings) {
+  return Settings.RemoteFactor_.value_or(PlacerOptions{}.RemoteFactor_);
+}
+
 static FleetInstance makeInstance(const PlatformSettings &Settings,
                                   uint64_t Seed) {
   FleetOptions Options;
@@ -38,6 +42,7 @@
   Options.Holder_.Lease_ = std::min(
       {Options.Holder_.Lease_, Settings.MaxLease_,
        Settings.ResendAfter_ - Options.Holder_.OriginTimeout_ - LeaseMargin});
+  Options.Placer_.RemoteFactor_ = remoteFactorOf(Settings);
   FleetInstance State = makeFleetInstance(std::move(Options), seedFrom(Seed));
   State.Self_.Address_ = Settings.Links_.Address_;
   State.Self_.Port_ = Settings.Links_.Port_;
@@ -325,6 +330,7 @@
   }
   logLine("reload", {{"name", Given->Name_}});
   addSeeds(*Given);
+  State_.Options_.Placer_.RemoteFactor_ = remoteFactorOf(*Given);
 }
 
 void FleetDaemon::addSeeds(const PlatformSettings &From) {
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -32,7 +32,8 @@
   /// \brief Begins a graceful stop.
   void stop();
 
-  /// \brief Reads a changed settings file and adds its seed addresses.
+  /// \brief Reads a changed settings file, adds its seed addresses and adopts
+  /// its factor for remote data; changes nothing if the file is rejected.
   void reload(const std::string &Path);
 
 private:
