Try the choice of workers by slack; learn run times by route

Cause: among workers of unequal speed, the fastest are taken first come, first served.

Change: while less than a quarter of the fast workers' cores is free, a job whose last task is expected to end in time on a slower worker is placed there (WorkerPolicy::BySlack, off by default). Origins report the run time of a task in per cent of its estimate with the release of its reservation, and the placer keeps a decaying histogram of the ratios by route; expectedRatio returns a quantile.

--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -76,6 +76,9 @@
   /// reservation then, if the placer has changed and changed back. Empty
   /// otherwise, to save bytes between data centres.
   std::string Worker_;
+  /// Run time of a completed task in per cent of its estimate; 0 if not
+  /// reported. \sa learnsRunTimes
+  uint16_t RanPercent_ = 0;
 };
 
 /// \brief Assigns a task to a worker.
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -17,6 +17,10 @@
 // Used if the caller gives no timeout, and upper bound of the given ones.
 static constexpr Milliseconds MaxCallerTimeout{60'000};
 
+// Longer run times are reported as this, so that the percentage cannot
+// overflow.
+static constexpr int64_t MaxReportedRun = 86'400'000;
+
 OriginJob *findJob(FleetInstance &State, uint64_t Number) {
   const auto Found = State.Jobs_.find(Number);
   return Found == State.Jobs_.end() ? nullptr : &Found->second;
@@ -430,6 +434,19 @@
   return false;
 }
 
+// 0 unless the placer learns from it.
+static uint16_t ranPercent(const FleetInstance &State, const OriginJob &Job,
+                           const RunEnded &Ended) {
+  const int64_t Estimate = Job.Submission_.Estimate_.Count_;
+  if (!learnsRunTimes(State.Options_.Placer_) || Ended.End_ != RunEnd::Done ||
+      Estimate <= 0 || Ended.Ran_.Count_ <= 0)
+    return 0;
+  constexpr int64_t PerCent = 100;
+  return static_cast<uint16_t>(std::clamp<int64_t>(
+      std::min<int64_t>(Ended.Ran_.Count_, MaxReportedRun) * PerCent / Estimate,
+      1, UINT16_MAX));
+}
+
 void handleRunEnded(FleetStepContext &Ctx, const RunEnded &Ended) {
   OriginJob *Job = findJob(Ctx.State_, Ended.Job_);
   if (Job == nullptr || Ended.Run_.Task_ >= Job->Tasks_.size())
@@ -447,8 +464,12 @@
          {"end", nameOf(Ended.End_)},
          {"ran_ms", toString(Ended.Ran_)}});
   if (isReachable(Ctx.State_, Task.Placer_))
-    sendMessage(Ctx, Task.Placer_,
-                PlaceRelease{Job->Number_, Index, Ended.End_});
+    sendMessage(
+        Ctx, Task.Placer_,
+        PlaceRelease{.Job_ = Job->Number_,
+                     .Task_ = Index,
+                     .End_ = Ended.End_,
+                     .RanPercent_ = ranPercent(Ctx.State_, *Job, Ended)});
   Task.Phase_ = OriginTaskPhase::Dropped;
   // A start that was definitely rejected has not run.
   Job->HasEndedRuns_ = Job->HasEndedRuns_ || Ended.End_ != RunEnd::NotStarted;
--- a/coordination/marjorambend/src/Fleet/Placement.h
+++ b/coordination/marjorambend/src/Fleet/Placement.h
@@ -25,6 +25,11 @@
 Milliseconds expectedRunTime(const PlacerJob &Job, const PlacerWorker &Worker,
                              double MedianSlowness, double RemoteFactor);
 
+/// \brief Expected run time of a task of \p Job on \p Worker, relative to the
+/// estimate.
+double runTimeFactor(const PlacerJob &Job, const PlacerWorker &Worker,
+                     double MedianSlowness, double RemoteFactor);
+
 /// \brief Chooses a worker with enough free resources: the shortest expected
 /// run time first, among similar ones a worker in the caller's data centre,
 /// among those the best fit.
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -175,6 +175,21 @@
   removeIfDone(Placer, Key);
 }
 
+// A run on a slow worker or with remote data takes longer for another reason
+// than its estimate. Jobs that another placer has placed have no route here.
+static void learnRunTime(FleetStepContext &Ctx, const PlacerJob &Job,
+                         const PlacerWorker &Worker, uint16_t RanPercent) {
+  const PlacerOptions &Options = Ctx.State_.Options_.Placer_;
+  PlacerState &Placer = Ctx.State_.Placing_;
+  if (RanPercent == 0 || !learnsRunTimes(Options))
+    return;
+  constexpr double PerCent = 100.0;
+  const double Expected =
+      runTimeFactor(Job, Worker, Placer.MedianSlowness_, Options.RemoteFactor_);
+  observeRatio(Placer.RunTimes_, Job.Request_.Route_,
+               RanPercent / PerCent / Expected, Options.RunTimes_, Ctx.Now_);
+}
+
 void handlePlaceRelease(FleetStepContext &Ctx, Incarnation Origin,
                         const PlaceRelease &Place) {
   PlacerState &Placer = Ctx.State_.Placing_;
@@ -195,6 +210,8 @@
   if (Place.End_ == RunEnd::NotStarted && Worker != Placer.Workers_.end())
     Worker->second.BackOffUntil_ =
         Ctx.Now_ + Ctx.State_.Options_.Placer_.BackOff_;
+  if (Worker != Placer.Workers_.end())
+    learnRunTime(Ctx, Job, Worker->second, Place.RanPercent_);
   unreserve(Placer, *One);
   Job.Reservations_.erase(One);
   removeIfDone(Placer, Key);
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -3,7 +3,9 @@
 
 #include "marjorambend/src/Fleet/FleetMessages.h"
 #include "marjorambend/src/Scheduling/Overload.h"
+#include "marjorambend/src/Scheduling/RunTimes.h"
 #include "marjorambend/src/Scheduling/WaitingQueue.h"
+#include "marjorambend/src/Scheduling/WorkerChoice.h"
 
 #include <cstdint>
 #include <map>
@@ -19,6 +21,7 @@
 struct WorkerIndexKey {
   int SlownessBucket_ = 0; ///< \sa slownessBucket
   std::string DataCentre_;
+  int64_t MilliCores_ = 0;
   int64_t FreeMilliCores_ = 0;
   std::vector<std::string> Labels_;
 };
@@ -32,6 +35,7 @@
   std::map<int, std::map<std::string, WorkersByFreeCores>> BySlowness_;
   std::map<std::string, WorkersByFreeCores> ByLabel_;
   std::multiset<int64_t> FreeCores_; ///< Thousandths of a core per worker.
+  std::map<int, SlownessCapacity> Capacity_; ///< By slowness bucket.
 };
 
 /// \brief A worker as known to the placer.
@@ -82,6 +86,9 @@
   Milliseconds SummarizedAt_; ///< When these were computed.
   bool IsDirty_ = false;      ///< Any waiting task may have become placeable.
   std::vector<PlacerJobKey> NewJobs_; ///< Not tried since their request.
+  RunTimes RunTimes_;
+  FastWorkers Fast_; ///< As of FastFoundAt_.
+  Milliseconds FastFoundAt_{-1};
 };
 
 /// \brief Number of jobs with waiting tasks.
--- a/coordination/test/Fleet/PlacementTests.cpp
+++ b/coordination/test/Fleet/PlacementTests.cpp
@@ -102,6 +102,26 @@
   STRCMP_EQUAL("none", choose(Milliseconds{150}).c_str());
 }
 
+// Load pattern: a quarter of the workers is twice as fast, and few of their
+// cores are free. Guards against fast workers that are taken first come, first
+// served.
+TEST(AWorkerForATask, IsAFastOneOnlyIfTheFleetIsIdleOrTheTimeIsShort) {
+  Options_.Choice_.Policy_ = WorkerPolicy::BySlack;
+  addWorker("fast", 0.5, 64'000);
+  for (const char *Id : {"slow1", "slow2", "slow3"})
+    addWorker(Id, 1.0, 64'000);
+  STRCMP_EQUAL("fast", choose(Milliseconds{200}).c_str());
+  Placer_.FastFoundAt_ = {-1};
+  addWorker("full", 0.5, 0);
+  addWorker("fast", 0.5, 21'000);
+  STRCMP_EQUAL("slow1", choose(Milliseconds{200}).c_str());
+  STRCMP_EQUAL("fast", choose(Milliseconds{105}).c_str());
+  Job_.Request_.Tasks_.resize(32);
+  STRCMP_EQUAL("fast", choose(Milliseconds{150}).c_str());
+  Options_.Choice_.Policy_ = WorkerPolicy::Fastest;
+  STRCMP_EQUAL("fast", choose(Milliseconds{200}).c_str());
+}
+
 TEST(AWorkerForATask, IsNotOneOfAHolderThatItsOriginCannotReach) {
   addWorker("a", 1.0, 64'000).Holder_ = {6};
   Job_.Request_.Avoid_ = {{6}};
--- a/coordination/test/Simulation/FleetSimulation.cpp
+++ b/coordination/test/Simulation/FleetSimulation.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numbers>
 
 namespace marjorambend::test {
 
@@ -80,6 +81,9 @@
           Options_.WorkerSpeeds_[Index % Options_.WorkerSpeeds_.size()];
       Worker.Capacity_ = Worker.FullCapacity_ = Worker.Report_.Capacity_;
       Worker.GuardsCapacity_ = Options_.WorkersGuardCapacity_;
+      if (Options_.DataRacks_ > 0)
+        Worker.Report_.Labels_ = {
+            dataRack(Centre, Index % Options_.DataRacks_)};
       restart(Worker, {0});
     }
   }
@@ -486,6 +490,20 @@
                     ", which may run " + std::to_string(Max));
 }
 
+std::string FleetSimulation::dataRack(std::size_t Centre, std::size_t Rack) {
+  return "data-" + std::to_string(Centre) + "-" + std::to_string(Rack);
+}
+
+double FleetSimulation::runTime(const Caller &Requester, uint32_t Task,
+                                const SimWorker &Worker) const {
+  const std::vector<std::string> &Labels = Worker.Report_.Labels_;
+  const std::string &Rack = Requester.Job_.DataRack_;
+  const bool IsLocal = Rack.empty() || std::find(Labels.begin(), Labels.end(),
+                                                 Rack) != Labels.end();
+  return Requester.Runs_.at(Task) / Worker.Speed_ *
+         (IsLocal ? 1.0 : Options_.RemoteFactor_);
+}
+
 void FleetSimulation::performStart(std::size_t Index, const StartRun &Start) {
   const uint64_t Epoch = Nodes_[Index].Epoch_;
   const auto Answer = [this, Index, Epoch,
@@ -503,8 +521,7 @@
       Index, Start.Worker_,
       [this, Index, Start, Answer, IsLost, WhenUnknown](SimWorker &Worker) {
         const Caller &Requester = Callers_.at(Start.Run_.Job_);
-        const double Duration =
-            Requester.Runs_.at(Start.Run_.Task_) / Worker.Speed_;
+        const double Duration = runTime(Requester, Start.Run_.Task_, Worker);
         const std::size_t Before = Worker.Runs_.size();
         const OrderResult Result =
             applyStart(Worker, Start,
@@ -650,7 +667,8 @@
       double Longest = 0;
       for (uint32_t Task = 0; Task < Tasks; ++Task) {
         Requester.Runs_.push_back(
-            std::max(1.0, logNormal(Generator_, Run, TaskSpread)));
+            std::max(1.0, logNormal(Generator_, Run, TaskSpread)) *
+            (chance(Options_.LongTaskShare_) ? Options_.LongTaskFactor_ : 1.0));
         Longest = std::max(Longest, Requester.Runs_.back());
         Requester.Work_ += Requester.Runs_.back();
       }
@@ -667,6 +685,10 @@
                             1, static_cast<int64_t>(logNormal(
                                    Generator_, Run, Options_.EstimateError_)))},
                         .MaxPerWorker_ = Of.MaxPerWorker_};
+      if (Options_.DataRacks_ > 0)
+        Requester.Job_.DataRack_ =
+            dataRack(uniformBelow(Generator_, Options_.DataCentres_),
+                     uniformBelow(Generator_, Options_.DataRacks_));
       Requester.Work_ *= Cores;
       Requester.Objective_ = {
           static_cast<int64_t>(Longest * ObjectiveStretch + TargetLatency)};
@@ -682,6 +704,26 @@
   }
 }
 
+// Accepts a random instance with a probability that follows the demand of its
+// data centre.
+std::size_t
+FleetSimulation::chooseEntry(const std::vector<std::size_t> &Ready) {
+  const double Swing = Options_.DataCentreSwing_;
+  for (;;) {
+    const std::size_t Chosen = Ready[uniformBelow(Generator_, Ready.size())];
+    if (Swing <= 0)
+      return Chosen;
+    const double Turns =
+        static_cast<double>(Now_.Count_) /
+            static_cast<double>(Options_.SwingPeriod_.Count_) +
+        static_cast<double>(Chosen / Options_.InstancesPerDataCentre_) /
+            static_cast<double>(Options_.DataCentres_);
+    const double Demand = 1.0 + Swing * std::sin(2 * std::numbers::pi * Turns);
+    if (uniformUnit(Generator_) * (1.0 + Swing) < Demand)
+      return Chosen;
+  }
+}
+
 void FleetSimulation::submit(uint64_t Id) {
   Caller &Requester = Callers_.at(Id);
   if (Requester.IsFinished_)
@@ -701,7 +743,7 @@
     resubmit(Requester);
     return;
   }
-  const std::size_t To = Ready[uniformBelow(Generator_, Ready.size())];
+  const std::size_t To = chooseEntry(Ready);
   const uint64_t Epoch = Nodes_[To].Epoch_;
   const uint64_t Token = NextToken_++;
   JobSubmission Job = Requester.Job_;
--- a/coordination/test/Simulation/FleetSimulation.h
+++ b/coordination/test/Simulation/FleetSimulation.h
@@ -66,6 +66,15 @@
   double LargeWorkerFactor_ = 1.5;
   std::vector<double> WorkerSpeeds_{0.55, 1.2, 1.2, 1.2};
   double EstimateError_ = 0.4; ///< Standard deviation of its log.
+  /// Amplitude of the demand of each data centre, out of phase, with a period
+  /// of SwingPeriod_; 0 for equal demand.
+  double DataCentreSwing_ = 0;
+  Milliseconds SwingPeriod_{15'000};
+  double LongTaskShare_ = 0; ///< Tasks that take LongTaskFactor_ times as long.
+  double LongTaskFactor_ = 7.0;
+  /// Racks per data centre, one of which holds the data of each job; 0: none.
+  uint32_t DataRacks_ = 0;
+  double RemoteFactor_ = 1.0; ///< On the run times in all other racks.
   std::vector<LoadKind> Kinds_;
   std::vector<LoadPeak> Peaks_;
   Milliseconds LoadFrom_{3'000};
@@ -242,6 +251,10 @@
   bool isListUnavailableIn(const std::string &DataCentre) const;
   void arrive(std::size_t Kind);
   void submit(uint64_t Id);
+  static std::string dataRack(std::size_t Centre, std::size_t Rack);
+  double runTime(const Caller &Requester, uint32_t Task,
+                 const SimWorker &Worker) const;
+  std::size_t chooseEntry(const std::vector<std::size_t> &Ready);
   void handleAnswer(std::size_t Index, const AnswerJob &Answer);
   void resubmitRequests(std::size_t Index);
   void resubmit(Caller &Requester);
--- a/transport/marjorambend/src/Transport/FleetDecoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetDecoder.cpp
@@ -220,8 +220,8 @@
     return PlaceWithdraw{Frame.body_as_PlaceWithdraw()->job()};
   case fleetwire::Body::PlaceRelease: {
     const auto &M = *Frame.body_as_PlaceRelease();
-    return PlaceRelease{M.job(), M.task(), toEnd(M.end()),
-                        fromWire(M.worker())};
+    return PlaceRelease{M.job(), M.task(), toEnd(M.end()), fromWire(M.worker()),
+                        M.ran_percent()};
   }
   case fleetwire::Body::PlaceAdopt: {
     const auto &M = *Frame.body_as_PlaceAdopt();
--- a/transport/marjorambend/src/Transport/FleetEncoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetEncoder.cpp
@@ -111,7 +111,8 @@
                             : text(M.Worker_);
     return {fleetwire::Body::PlaceRelease,
             fleetwire::CreatePlaceRelease(B_, M.Job_, M.Task_,
-                                          static_cast<uint8_t>(M.End_), Worker)
+                                          static_cast<uint8_t>(M.End_), Worker,
+                                          M.RanPercent_)
                 .Union()};
   }
   FleetBody operator()(const PlaceAdopt &M) const {
--- a/transport/test/FleetCodecTests.cpp
+++ b/transport/test/FleetCodecTests.cpp
@@ -103,6 +103,7 @@
   STRCMP_EQUAL(
       "w1",
       roundTrip(PlaceRelease{1, 2, RunEnd::NotStarted, "w1"}).Worker_.c_str());
+  LONGS_EQUAL(150, roundTrip(PlaceRelease{.RanPercent_ = 150}).RanPercent_);
   const PlaceAdopt Adoption = roundTrip(sampleAdoption());
   CHECK(Adoption.IsSuspect_);
   LONGS_EQUAL(3, Adoption.Task_);
