Let tasks wait for workers near their data; take the choice by slack out

Cause: a task whose data rack was full ran remotely at once and took twice the capacity, although a local worker was often free within a fraction of its run time.

The flag also enables the learned run times; other and invalid flags of `platform` are rejected. Metrics: placements_remote_total, run_ratio_percent by route.

With the rule switched off WorstLoad_.WithDataInRacksEarnsMoreIfTasksWaitForLocalWorkers compares equal values and fails.

--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -77,7 +77,7 @@
   /// otherwise, to save bytes between data centres.
   std::string Worker_;
   /// Run time of a completed task in per cent of its estimate; 0 if not
-  /// reported. \sa learnsRunTimes
+  /// reported. \sa PlacerOptions::LearnsRunTimes_
   uint16_t RanPercent_ = 0;
 };
 
--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -89,6 +89,11 @@
           renderHistogram(State.Times_.Starts_, "start_milliseconds", "");
   Text += renderHistogramType("run_milliseconds") +
           renderHistogram(State.Times_.Runs_, "run_milliseconds", "");
+  if (!State.Placing_.RunTimes_.empty())
+    Text += renderHistogramType("run_ratio_percent");
+  for (const auto &[Name, Learned] : State.Placing_.RunTimes_)
+    Text += renderHistogram(Learned.Percents_, "run_ratio_percent",
+                            renderLabel("route", Name));
   return Text;
 }
 
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -4,7 +4,6 @@
 #include "marjorambend/src/Fleet/CrashLedger.h"
 #include "marjorambend/src/Scheduling/Overload.h"
 #include "marjorambend/src/Scheduling/RunTimes.h"
-#include "marjorambend/src/Scheduling/WorkerChoice.h"
 #include "marjorambend/src/Support/Milliseconds.h"
 
 #include <cstdint>
@@ -92,7 +91,10 @@
   /// Factor on the run time of a task whose data is in another rack; the
   /// platform's `bounds.remote_factor`.
   double RemoteFactor_ = 2.0;
-  WorkerChoiceOptions Choice_;
+  /// Whether origins report run times and the placer learns from them.
+  bool LearnsRunTimes_ = false;
+  /// Whether a task may wait for a worker near its data.
+  bool WaitsForData_ = false;
   RunTimesOptions RunTimes_;
   /// Time by which each priority class moves a job ahead. It is the slack of
   /// the users' shortest jobs, so that priority decides between jobs with
@@ -104,11 +106,6 @@
   Milliseconds SummaryInterval_{100};
 };
 
-/// \brief Whether origins report run times and the placer learns from them.
-inline bool learnsRunTimes(const PlacerOptions &Options) {
-  return Options.Choice_.Policy_ == WorkerPolicy::BySlack;
-}
-
 /// \brief Options for the choice of coordinators.
 struct RosterOptions {
   /// Least number of coordinators per data centre; two of them may be lost at
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -438,7 +438,7 @@
 static uint16_t ranPercent(const FleetInstance &State, const OriginJob &Job,
                            const RunEnded &Ended) {
   const int64_t Estimate = Job.Submission_.Estimate_.Count_;
-  if (!learnsRunTimes(State.Options_.Placer_) || Ended.End_ != RunEnd::Done ||
+  if (!State.Options_.Placer_.LearnsRunTimes_ || Ended.End_ != RunEnd::Done ||
       Estimate <= 0 || Ended.Ran_.Count_ <= 0)
     return 0;
   constexpr int64_t PerCent = 100;
--- a/coordination/marjorambend/src/Fleet/Placement.cpp
+++ b/coordination/marjorambend/src/Fleet/Placement.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -40,13 +39,15 @@
   return fits(Job.Request_.Needs_, Held.Report_.Capacity_);
 }
 
+bool isRemote(const PlacerJob &Job, const PlacerWorker &Worker) {
+  const std::string &Rack = Job.Request_.DataRack_;
+  return !Rack.empty() && !internal::hasLabel(Worker.Held_, Rack);
+}
+
 double runTimeFactor(const PlacerJob &Job, const PlacerWorker &Worker,
                      double MedianSlowness, double RemoteFactor) {
-  double Factor = Worker.Held_.Slowness_ / MedianSlowness;
-  if (!Job.Request_.DataRack_.empty() &&
-      !internal::hasLabel(Worker.Held_, Job.Request_.DataRack_))
-    Factor *= RemoteFactor;
-  return Factor;
+  const double Factor = Worker.Held_.Slowness_ / MedianSlowness;
+  return isRemote(Job, Worker) ? Factor * RemoteFactor : Factor;
 }
 
 Milliseconds expectedRunTime(const PlacerJob &Job, const PlacerWorker &Worker,
@@ -78,22 +79,9 @@
 
 namespace internal {
 
-// Adds the worker with this key to the capacity of its slowness bucket, or
-// removes it if \p Sign is -1.
-static void addCapacity(WorkerIndex &Open, const WorkerIndexKey &Key,
-                        int Sign) {
-  SlownessCapacity &Same = Open.Capacity_[Key.SlownessBucket_];
-  Same.Slowness_ = std::pow(SlownessBucketRatio, Key.SlownessBucket_);
-  Same.MilliCores_ += Sign * Key.MilliCores_;
-  Same.FreeMilliCores_ += Sign * Key.FreeMilliCores_;
-  if (Same.MilliCores_ == 0)
-    Open.Capacity_.erase(Key.SlownessBucket_);
-}
-
 static void removeFromIndex(WorkerIndex &Open, const std::string &Id,
                             const WorkerIndexKey &Key) {
   const std::pair<int64_t, std::string> Entry{Key.FreeMilliCores_, Id};
-  addCapacity(Open, Key, -1);
   const auto Bucket = Open.BySlowness_.find(Key.SlownessBucket_);
   WorkersByFreeCores &Same = Bucket->second[Key.DataCentre_];
   Same.erase(Entry);
@@ -121,11 +109,9 @@
   Worker.Key_ =
       WorkerIndexKey{.SlownessBucket_ = slownessBucket(Worker.Held_.Slowness_),
                      .DataCentre_ = Report.DataCentre_,
-                     .MilliCores_ = Report.Capacity_.MilliCores_,
                      .FreeMilliCores_ = Free,
                      .Labels_ = Report.Labels_};
   WorkerIndex &Open = Placer.OpenWorkers_;
-  internal::addCapacity(Open, *Worker.Key_, 1);
   Open.BySlowness_[Worker.Key_->SlownessBucket_][Report.DataCentre_].insert(
       {Free, Id});
   for (const std::string &Label : Report.Labels_)
@@ -160,7 +146,6 @@
   Milliseconds Now_;
   std::vector<Candidate> Available_;
   Milliseconds ShortestRunTime_{INT64_MAX};
-  double EndFactor_ = 1.0; ///< From the run time to the end of the job.
 
   bool add(const std::string &Id) {
     const auto It = Placing_.Workers_.find(Id);
@@ -169,9 +154,7 @@
     const Milliseconds Run =
         expectedRunTime(Requirements_.Job_, It->second,
                         Requirements_.MedianSlowness_, Options_.RemoteFactor_);
-    const Milliseconds End{
-        static_cast<int64_t>(static_cast<double>(Run.Count_) * EndFactor_)};
-    if (Requirements_.LatestEnd_ && Now_ + End > *Requirements_.LatestEnd_)
+    if (Requirements_.LatestEnd_ && Now_ + Run > *Requirements_.LatestEnd_)
       return false;
     Available_.push_back({It, Run});
     ShortestRunTime_ = std::min(ShortestRunTime_, Run);
@@ -219,85 +202,36 @@
     Into.addAll(Found->second);
 }
 
-} // namespace internal
-
-namespace internal {
-
-// Summing up all slowness buckets for each task would cost more than the choice
-// itself, so that it is done once per millisecond.
-static const FastWorkers &fastWorkers(PlacerState &Placer,
-                                      const WorkerChoiceOptions &Options,
-                                      Milliseconds Now) {
-  if (Placer.FastFoundAt_ == Now)
-    return Placer.Fast_;
-  std::vector<SlownessCapacity> Fleet;
-  for (const auto &[Bucket, Capacity] : Placer.OpenWorkers_.Capacity_)
-    Fleet.push_back(Capacity);
-  Placer.Fast_ = findFastWorkers(Fleet, Options);
-  Placer.FastFoundAt_ = Now;
-  return Placer.Fast_;
-}
-
-// Considers the slowest workers first; as in addBySlowness, stops at the first
-// bucket whose workers are faster than the found ones by more than the
-// similarity bound.
-static void addSlower(Candidates &Into, int FastBucket) {
-  std::optional<int> LastBucket;
-  const int Similar = slownessBucket(1.0 + Into.Options_.RunTimeTolerance_) + 1;
-  const auto &BySlowness = Into.Placing_.OpenWorkers_.BySlowness_;
-  for (auto It = BySlowness.rbegin(); It != BySlowness.rend(); ++It) {
-    if (It->first <= FastBucket || (LastBucket && It->first < *LastBucket))
-      return;
-    for (const auto &[DataCentre, Workers] : It->second)
-      Into.addBestFit(Workers);
-    if (!LastBucket && !Into.Available_.empty())
-      LastBucket = It->first - Similar;
-  }
-}
-
-// Chooses the candidate in the caller's data centre, among those the best fit.
-static WorkerEntry bestFit(const Candidates &Found, double MaxRunTime) {
-  auto Best = Found.Placing_.Workers_.end();
-  std::pair<bool, int64_t> BestRank; // in another data centre, free cores
-  for (const auto &[It, Run] : Found.Available_) {
-    if (static_cast<double>(Run.Count_) > MaxRunTime)
+// Whether the task waits although it could run remotely on the chosen worker.
+static bool waitsForData(const PlacerState &Placer,
+                         const TaskRequirements &Requirements,
+                         const PlacerOptions &Options, const Candidate &Chosen,
+                         Milliseconds Now) {
+  const PlacerJob &Job = Requirements.Job_;
+  if (!Options.WaitsForData_ || !isRemote(Job, Chosen.Worker_->second))
+    return false;
+  const std::string &Rack = Job.Request_.DataRack_;
+  const auto Rate = Placer.Releases_.find(Rack);
+  const auto Local = Placer.OpenWorkers_.ByLabel_.find(Rack);
+  if (Rate == Placer.Releases_.end() ||
+      Local == Placer.OpenWorkers_.ByLabel_.end())
+    return false;
+  Milliseconds Sum;
+  int64_t Count = 0;
+  for (const auto &[Free, Id] : Local->second) {
+    const PlacerWorker &Worker = Placer.Workers_.at(Id);
+    if (!isEligible(Job, Worker) || Worker.BackOffUntil_ > Now)
       continue;
-    const WorkerReport &Report = It->second.Held_.Report_;
-    const std::pair<bool, int64_t> Rank{
-        Report.DataCentre_ != Found.Requirements_.Job_.OriginDataCentre_,
-        Report.Capacity_.MilliCores_ - It->second.Reserved_.MilliCores_};
-    if (Best == Found.Placing_.Workers_.end() || Rank < BestRank) {
-      Best = It;
-      BestRank = Rank;
-    }
+    Sum = Sum + expectedRunTime(Job, Worker, Requirements.MedianSlowness_,
+                                Options.RemoteFactor_);
+    ++Count;
   }
-  return Best;
-}
-
-// A worker that is not fast, for a job that has slack while the fleet is busy;
-// the end of the workers if there is none.
-static WorkerEntry chooseSlower(PlacerState &Placer,
-                                const TaskRequirements &Requirements,
-                                const PlacerOptions &Options,
-                                Milliseconds Now) {
-  const PlacerJob &Job = Requirements.Job_;
-  const PlaceRequest &Request = Job.Request_;
-  if (Options.Choice_.Policy_ != WorkerPolicy::BySlack ||
-      !Requirements.LatestEnd_ || !Request.Label_.empty() ||
-      !Request.DataRack_.empty())
-    return Placer.Workers_.end();
-  const FastWorkers &Fast = fastWorkers(Placer, Options.Choice_, Now);
-  if (!Fast.IsBusy_)
-    return Placer.Workers_.end();
-  Candidates Found{Placer, Requirements, Options, Now, {}};
-  Found.EndFactor_ = endFactor(
-      Request.Tasks_.size() + Job.Reservations_.size(),
-      expectedRatio(Placer.RunTimes_, Request.Route_, Options.RunTimes_),
-      Options.Choice_);
-  // Buckets are half open, so that the middle is unambiguous.
-  addSlower(Found,
-            slownessBucket(Fast.MaxSlowness_ * std::sqrt(SlownessBucketRatio)));
-  return bestFit(Found, std::numeric_limits<double>::infinity());
+  const auto Wait =
+      timeToRelease(Rate->second, Job.Request_.Needs_.MilliCores_, Now);
+  if (Count == 0 || !Wait)
+    return false;
+  // The remote run ends in time, and so does a local one that ends earlier.
+  return *Wait + Milliseconds{Sum.Count_ / Count} < Chosen.Run_;
 }
 
 } // namespace internal
@@ -306,10 +240,6 @@
 chooseWorker(PlacerState &Placer, const TaskRequirements &Requirements,
              const PlacerOptions &Options, Milliseconds Now) {
   const PlacerJob &Job = Requirements.Job_;
-  const auto Slower =
-      internal::chooseSlower(Placer, Requirements, Options, Now);
-  if (Slower != Placer.Workers_.end())
-    return Slower;
   internal::Candidates Found{Placer, Requirements, Options, Now, {}};
   if (!Job.Request_.Label_.empty()) {
     internal::addLabelled(Found, Job.Request_.Label_);
@@ -320,7 +250,26 @@
   }
   const auto Similar = static_cast<double>(Found.ShortestRunTime_.Count_) *
                        (1.0 + Options.RunTimeTolerance_);
-  return internal::bestFit(Found, Similar);
+  auto Best = Placer.Workers_.end();
+  std::pair<bool, int64_t> BestRank; // in another data centre, free cores
+  Milliseconds BestRun;
+  for (const auto &[It, Run] : Found.Available_) {
+    if (static_cast<double>(Run.Count_) > Similar)
+      continue;
+    const WorkerReport &Report = It->second.Held_.Report_;
+    const std::pair<bool, int64_t> Rank{
+        Report.DataCentre_ != Job.OriginDataCentre_,
+        Report.Capacity_.MilliCores_ - It->second.Reserved_.MilliCores_};
+    if (Best == Placer.Workers_.end() || Rank < BestRank) {
+      Best = It;
+      BestRank = Rank;
+      BestRun = Run;
+    }
+  }
+  const bool IsWaiting = Best != Placer.Workers_.end() &&
+                         internal::waitsForData(Placer, Requirements, Options,
+                                                {Best, BestRun}, Now);
+  return IsWaiting ? Placer.Workers_.end() : Best;
 }
 
 std::map<std::string, PlacerWorker>::iterator
--- a/coordination/marjorambend/src/Fleet/Placement.h
+++ b/coordination/marjorambend/src/Fleet/Placement.h
@@ -25,6 +25,9 @@
 Milliseconds expectedRunTime(const PlacerJob &Job, const PlacerWorker &Worker,
                              double MedianSlowness, double RemoteFactor);
 
+/// \brief Whether the data of \p Job is in another rack than \p Worker.
+bool isRemote(const PlacerJob &Job, const PlacerWorker &Worker);
+
 /// \brief Expected run time of a task of \p Job on \p Worker, relative to the
 /// estimate.
 double runTimeFactor(const PlacerJob &Job, const PlacerWorker &Worker,
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -181,7 +181,7 @@
                          const PlacerWorker &Worker, uint16_t RanPercent) {
   const PlacerOptions &Options = Ctx.State_.Options_.Placer_;
   PlacerState &Placer = Ctx.State_.Placing_;
-  if (RanPercent == 0 || !learnsRunTimes(Options))
+  if (RanPercent == 0 || !Options.LearnsRunTimes_)
     return;
   constexpr double PerCent = 100.0;
   const double Expected =
@@ -190,6 +190,15 @@
                RanPercent / PerCent / Expected, Options.RunTimes_, Ctx.Now_);
 }
 
+static void recordRelease(FleetStepContext &Ctx, const PlacerWorker &Worker,
+                          const Reservation &Released) {
+  if (!Ctx.State_.Options_.Placer_.WaitsForData_)
+    return;
+  for (const std::string &Label : Worker.Held_.Report_.Labels_)
+    observeRelease(Ctx.State_.Placing_.Releases_[Label],
+                   Released.Amount_.MilliCores_, Ctx.Now_);
+}
+
 void handlePlaceRelease(FleetStepContext &Ctx, Incarnation Origin,
                         const PlaceRelease &Place) {
   PlacerState &Placer = Ctx.State_.Placing_;
@@ -210,8 +219,12 @@
   if (Place.End_ == RunEnd::NotStarted && Worker != Placer.Workers_.end())
     Worker->second.BackOffUntil_ =
         Ctx.Now_ + Ctx.State_.Options_.Placer_.BackOff_;
-  if (Worker != Placer.Workers_.end())
+  if (Worker != Placer.Workers_.end() && Place.End_ == RunEnd::Done) {
     learnRunTime(Ctx, Job, Worker->second, Place.RanPercent_);
+    recordRelease(Ctx, Worker->second, *One);
+    if (isRemote(Job, Worker->second))
+      increment(Ctx.State_.Counters_, Counter::PlacementsRemote);
+  }
   unreserve(Placer, *One);
   Job.Reservations_.erase(One);
   removeIfDone(Placer, Key);
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -21,7 +21,6 @@
 struct WorkerIndexKey {
   int SlownessBucket_ = 0; ///< \sa slownessBucket
   std::string DataCentre_;
-  int64_t MilliCores_ = 0;
   int64_t FreeMilliCores_ = 0;
   std::vector<std::string> Labels_;
 };
@@ -35,7 +34,6 @@
   std::map<int, std::map<std::string, WorkersByFreeCores>> BySlowness_;
   std::map<std::string, WorkersByFreeCores> ByLabel_;
   std::multiset<int64_t> FreeCores_; ///< Thousandths of a core per worker.
-  std::map<int, SlownessCapacity> Capacity_; ///< By slowness bucket.
 };
 
 /// \brief A worker as known to the placer.
@@ -87,8 +85,8 @@
   bool IsDirty_ = false;      ///< Any waiting task may have become placeable.
   std::vector<PlacerJobKey> NewJobs_; ///< Not tried since their request.
   RunTimes RunTimes_;
-  FastWorkers Fast_; ///< As of FastFoundAt_.
-  Milliseconds FastFoundAt_{-1};
+  /// By label of the worker; only if PlacerOptions::WaitsForData_ is set.
+  std::map<std::string, ReleaseRate> Releases_;
 };
 
 /// \brief Number of jobs with waiting tasks.
--- a/coordination/test/Fleet/PlacementTests.cpp
+++ b/coordination/test/Fleet/PlacementTests.cpp
@@ -102,24 +102,24 @@
   STRCMP_EQUAL("none", choose(Milliseconds{150}).c_str());
 }
 
-// Load pattern: a quarter of the workers is twice as fast, and few of their
-// cores are free. Guards against fast workers that are taken first come, first
-// served.
-TEST(AWorkerForATask, IsAFastOneOnlyIfTheFleetIsIdleOrTheTimeIsShort) {
-  Options_.Choice_.Policy_ = WorkerPolicy::BySlack;
-  addWorker("fast", 0.5, 64'000);
-  for (const char *Id : {"slow1", "slow2", "slow3"})
-    addWorker(Id, 1.0, 64'000);
-  STRCMP_EQUAL("fast", choose(Milliseconds{200}).c_str());
-  Placer_.FastFoundAt_ = {-1};
-  addWorker("full", 0.5, 0);
-  addWorker("fast", 0.5, 21'000);
-  STRCMP_EQUAL("slow1", choose(Milliseconds{200}).c_str());
-  STRCMP_EQUAL("fast", choose(Milliseconds{105}).c_str());
-  Job_.Request_.Tasks_.resize(32);
-  STRCMP_EQUAL("fast", choose(Milliseconds{150}).c_str());
-  Options_.Choice_.Policy_ = WorkerPolicy::Fastest;
-  STRCMP_EQUAL("fast", choose(Milliseconds{200}).c_str());
+// Load pattern: the workers of the rack that holds the data are full, others
+// are free. Guards against a remote run that ends later than a local one after
+// a short wait, and against a wait that is not forecast or takes too long.
+TEST(AWorkerForATask, IsAwaitedNearItsDataIfItEndsEarlierThere) {
+  addWorker("away", 1.0, 64'000);
+  addWorker("home", 1.0, 0).Held_.Report_.Labels_ = {"r1"};
+  Job_.Request_.DataRack_ = "r1";
+  Options_.WaitsForData_ = true;
+  STRCMP_EQUAL("away", choose().c_str());
+  // 20 cores in 50 ms, and a remote run that takes 100 ms longer.
+  observeRelease(Placer_.Releases_["r1"], 800'000, {0});
+  STRCMP_EQUAL("none", choose().c_str());
+  STRCMP_EQUAL("none", choose(Milliseconds{200}).c_str());
+  Options_.WaitsForData_ = false;
+  STRCMP_EQUAL("away", choose().c_str());
+  Options_.WaitsForData_ = true;
+  Placer_.Releases_["r1"].MilliCores_ = 300'000;
+  STRCMP_EQUAL("away", choose().c_str());
 }
 
 TEST(AWorkerForATask, IsNotOneOfAHolderThatItsOriginCannotReach) {
--- a/coordination/test/Simulation/FleetLoad.cpp
+++ b/coordination/test/Simulation/FleetLoad.cpp
@@ -76,8 +76,8 @@
       Options.RemoteFactor_ = Options.Placer_.RemoteFactor_;
     }
     printResult("fastest", Load, FleetSimulation(Options).run());
-    Options.Placer_.Choice_.Policy_ = WorkerPolicy::BySlack;
-    printResult("by_slack", Load, FleetSimulation(Options).run());
+    Options.Placer_.WaitsForData_ = true;
+    printResult("waiting", Load, FleetSimulation(Options).run());
   }
   return 0;
 }
--- a/coordination/test/Simulation/FleetWorstLoad.cpp
+++ b/coordination/test/Simulation/FleetWorstLoad.cpp
@@ -98,3 +98,19 @@
     CHECK(static_cast<double>(Unserved) < 0.005 * static_cast<double>(Asked));
   }
 }
+
+// Load pattern: the data of each job is in one of 12 racks, elsewhere it takes
+// twice as long. Guards against remote runs that take capacity from others
+// although a local worker is free soon.
+TEST(WorstLoad_, WithDataInRacksEarnsMoreIfTasksWaitForLocalWorkers) {
+  for (const uint64_t Seed : {1ULL, 2ULL, 3ULL}) {
+    const auto ShareWith = [Seed](bool Waits) {
+      return worthShareAt(1.1, Seed, [Waits](FleetSimulationOptions &Options) {
+        Options.DataRacks_ = 4;
+        Options.RemoteFactor_ = Options.Placer_.RemoteFactor_;
+        Options.Placer_.WaitsForData_ = Waits;
+      });
+    };
+    CHECK(ShareWith(true) > ShareWith(false));
+  }
+}
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -33,7 +33,7 @@
 }
 
 static FleetInstance makeInstance(const PlatformSettings &Settings,
-                                  uint64_t Seed) {
+                                  const FleetDaemonOptions &Given) {
   FleetOptions Options;
   Options.Name_ = Settings.Name_;
   Options.DataCentre_ = Settings.DataCentre_;
@@ -43,7 +43,10 @@
       {Options.Holder_.Lease_, Settings.MaxLease_,
        Settings.ResendAfter_ - Options.Holder_.OriginTimeout_ - LeaseMargin});
   Options.Placer_.RemoteFactor_ = remoteFactorOf(Settings);
-  FleetInstance State = makeFleetInstance(std::move(Options), seedFrom(Seed));
+  Options.Placer_.WaitsForData_ = Given.ChoosesEarliestEnd_;
+  Options.Placer_.LearnsRunTimes_ = Given.ChoosesEarliestEnd_;
+  FleetInstance State =
+      makeFleetInstance(std::move(Options), seedFrom(Given.Seed_));
   State.Self_.Address_ = Settings.Links_.Address_;
   State.Self_.Port_ = Settings.Links_.Port_;
   return State;
@@ -138,8 +141,7 @@
 
 FleetDaemon::FleetDaemon(EventLoop &Loop, const PlatformSettings &Settings,
                          const FleetDaemonOptions &Options)
-    : Loop_(Loop), Settings_(Settings),
-      State_(makeInstance(Settings, Options.Seed_)),
+    : Loop_(Loop), Settings_(Settings), State_(makeInstance(Settings, Options)),
       Log_(Loop, {.Instance_ = Settings.Name_}),
       WorkerClient_(Loop, MaxIdleConnection),
       StoreClient_(Loop, MaxIdleConnection),
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -17,6 +17,9 @@
 struct FleetDaemonOptions {
   uint16_t MetricsPort_ = 0; ///< On the machine's address; 0: none.
   uint64_t Seed_ = 0;        ///< 0: from std::random_device.
+  /// Whether tasks may wait for workers near their data, and run times are
+  /// learned (`worker_choice`).
+  bool ChoosesEarliestEnd_ = false;
 };
 
 /// \brief The daemon on the users' platform: connects the decisions of
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -46,7 +46,14 @@
 // on the users' platform.
 static constexpr const char *SettingsFileVariable = "MARJORAMBEND_NODE_FILE";
 
-static int runOnPlatform(const std::string &Path) {
+// \p Arguments begin with the word `platform`.
+static int runOnPlatform(const std::string &Path, int Count, char **Arguments) {
+  const auto Flags = readPlatformFlags(Count, Arguments);
+  if (!Flags) {
+    for (const std::string &Problem : Flags.error().Problems_)
+      std::cerr << "marjorambend: " << Problem << '\n';
+    return ExitWrongSettings;
+  }
   const auto Settings = platform::readSettingsFile(Path);
   if (!Settings) {
     std::cerr << "marjorambend: " << Settings.error().What_ << '\n';
@@ -54,7 +61,10 @@
   }
   signal(SIGPIPE, SIG_IGN);
   EventLoop Loop;
-  FleetDaemon Instance(Loop, *Settings, {.MetricsPort_ = MetricsPort});
+  FleetDaemon Instance(
+      Loop, *Settings,
+      {.MetricsPort_ = MetricsPort,
+       .ChoosesEarliestEnd_ = Flags->worker_choice == "earliest_end"});
   const SignalWatch Terminate(Loop, SIGTERM, [&] { Instance.stop(); });
   const SignalWatch Interrupt(Loop, SIGINT, [&] { Instance.stop(); });
   const SignalWatch Hangup(Loop, SIGHUP, [&] { Instance.reload(Path); });
@@ -70,7 +80,7 @@
   const char *File = std::getenv(SettingsFileVariable);
   if (File != nullptr && Count > 1 &&
       std::string_view(Arguments[1]) == "platform")
-    return runOnPlatform(File);
+    return runOnPlatform(File, Count - 1, Arguments + 1);
   const auto Line = readSettings(Count, Arguments);
   if (!Line) {
     for (const std::string &Problem : Line.error().Problems_)
--- a/transport/marjorambend/src/Transport/SettingsReader.cpp
+++ b/transport/marjorambend/src/Transport/SettingsReader.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <cstdlib>
 #include <gflags/gflags.h>
+#include <iterator>
 #include <sstream>
 #include <type_traits>
 
@@ -83,8 +84,19 @@
   }
 }
 
-static void readEnvironment(Problems &Errors) {
+// Settings that are also flags of `marjorambend platform`.
+static constexpr const char *PlatformSettingNames[] = {"worker_choice"};
+
+static bool isPlatformSetting(const std::string &Name) {
+  return std::any_of(std::begin(PlatformSettingNames),
+                     std::end(PlatformSettingNames),
+                     [&Name](const char *Known) { return Name == Known; });
+}
+
+static void readEnvironment(Problems &Errors, bool IsOnPlatform = false) {
   for (const SettingText &Text : SettingTexts) {
+    if (IsOnPlatform && !isPlatformSetting(Text.Name_))
+      continue;
     const std::string Variable = environmentName(Text.Name_);
     if (const char *Value = std::getenv(Variable.c_str()))
       setFlag(Text, Variable, Value, Errors);
@@ -123,6 +135,12 @@
   setFlag(*Text, "--" + Name, Arguments[++Index], Errors);
 }
 
+static std::string flagName(const std::string &Argument) {
+  return Argument.rfind("--", 0) == 0
+             ? Argument.substr(2, Argument.find('=') - 2)
+             : "";
+}
+
 static void checkAddress(const std::string &Name, const std::string &Value,
                          Problems &Errors) {
   in_addr Address{};
@@ -187,6 +205,25 @@
   return Line;
 }
 
+tl::expected<SettingsT, SettingsError> readPlatformFlags(int Count,
+                                                         char **Arguments) {
+  SettingsError Error;
+  CommandLine Line;
+  internal::readEnvironment(Error.Problems_, true);
+  const std::vector<std::string> Given(Arguments + 1, Arguments + Count);
+  for (std::size_t Index = 0; Index < Given.size(); ++Index) {
+    if (internal::isPlatformSetting(internal::flagName(Given[Index])))
+      internal::readArgument(Given, Index, Line, Error.Problems_);
+    else
+      Error.Problems_.push_back(Given[Index] +
+                                ": is not a flag of `marjorambend platform`");
+  }
+  SettingsT Settings = internal::collectFlags(Error.Problems_);
+  if (!Error.Problems_.empty())
+    return tl::unexpected(Error);
+  return Settings;
+}
+
 std::string settingsHelp() {
   std::ostringstream Text;
   Text << "marjorambend - the daemon of an entry instance\n\n"
--- a/transport/marjorambend/src/Transport/SettingsReader.h
+++ b/transport/marjorambend/src/Transport/SettingsReader.h
@@ -29,6 +29,12 @@
 tl::expected<CommandLine, SettingsError> readSettings(int Count,
                                                       char **Arguments);
 
+/// \brief Reads the settings that apply on the users' platform, where the
+/// settings file gives all others: defaults, then environment, then flags.
+/// Other flags are invalid.
+tl::expected<SettingsT, SettingsError> readPlatformFlags(int Count,
+                                                         char **Arguments);
+
 /// \brief The text of --help.
 std::string settingsHelp();
 
--- a/transport/test/SettingsTests.cpp
+++ b/transport/test/SettingsTests.cpp
@@ -63,3 +63,27 @@
   CHECK(read({"--help"})->IsHelp_);
   CHECK(settingsHelp().find("--identity_window_ms") != std::string::npos);
 }
+
+// Guards against a flag of `marjorambend platform` that is ignored, or that
+// takes any value.
+TEST(SettingsReading, OnThePlatformHasFewFlags) {
+  const auto ReadFlags = [](std::vector<std::string> Words) {
+    Words.insert(Words.begin(), "platform");
+    std::vector<char *> Arguments;
+    for (std::string &Word : Words)
+      Arguments.push_back(Word.data());
+    return readPlatformFlags(static_cast<int>(Arguments.size()),
+                             Arguments.data());
+  };
+  STRCMP_EQUAL("fastest", ReadFlags({})->worker_choice.c_str());
+  STRCMP_EQUAL(
+      "earliest_end",
+      ReadFlags({"--worker_choice=earliest_end"})->worker_choice.c_str());
+  const auto Wrong = ReadFlags({"--worker_choice=best", "--caller_port=80"});
+  CHECK_FALSE(Wrong.has_value());
+  CHECK(isReported(
+      Wrong.error(),
+      "--worker_choice: \"best\" is not one of fastest,earliest_end"));
+  CHECK(isReported(Wrong.error(), "--caller_port=80: is not a flag"));
+  ReadFlags({"--worker_choice=fastest"});
+}
