Keep a restarted worker closed until its new report has been read

A held worker now remembers which incarnation its report is of, and takes no work while an older one than that which answers is listed. A worker that restarts unchanged opens up to one read of the list later than before, or once the list can be read again.

The new test of AWorkerThatIsHeld fails without the check. Three tests restarted a worker without listing it; they list it now, as the platform does.

Not closed: an order that is under way when the worker restarts is carried out by the new incarnation, which has seen no fencing token.

--- a/coordination/marjorambend/src/Fleet/Claims.cpp
+++ b/coordination/marjorambend/src/Fleet/Claims.cpp
@@ -106,6 +106,7 @@
 static void claimWorker(FleetStepContext &Ctx, const WorkerReport &Report) {
   WorkerHold &Hold = Ctx.State_.Holds_[Report.Id_];
   Hold = WorkerHold{.Report_ = Report,
+                    .ListedIncarnation_ = Report.Incarnation_,
                     .FencingToken_ = newFencingToken(Ctx.State_)};
   log(Ctx, "worker_claimed", 0,
       {{"worker", Report.Id_}, {"fence", std::to_string(Hold.FencingToken_)}});
@@ -335,8 +336,10 @@
     const auto Found = State.ListedWorkers_.find(Id);
     Hold.IsListed_ = Found != State.ListedWorkers_.end();
     WorkerReport Known = Hold.Report_;
-    if (Hold.IsListed_)
+    if (Hold.IsListed_) {
       Known.Incarnation_ = Found->second.Incarnation_;
+      Hold.ListedIncarnation_ = Found->second.Incarnation_;
+    }
     if (!Hold.IsListed_ || Found->second == Known) {
       announceIfChanged(Ctx, Hold);
       continue;
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -28,9 +28,17 @@
           .FencingToken_ = Hold.FencingToken_};
 }
 
+// A worker may restart with other labels, another service or another capacity
+// under its id. Until the list has been read again, the report is that of the
+// previous incarnation and must not be used to place tasks.
+static bool isReportCurrent(const WorkerHold &Hold) {
+  return Hold.ListedIncarnation_ == 0 ||
+         Hold.ListedIncarnation_ >= Hold.Report_.Incarnation_;
+}
+
 bool isOpen(const WorkerHold &Hold, Milliseconds Now) {
-  return Hold.Phase_ == HoldPhase::Open && Hold.IsListed_ &&
-         !Hold.Report_.IsDraining_ && !Hold.IsClosing_ &&
+  return isReportCurrent(Hold) && Hold.Phase_ == HoldPhase::Open &&
+         Hold.IsListed_ && !Hold.Report_.IsDraining_ && !Hold.IsClosing_ &&
          Hold.EjectedUntil_ <= Now;
 }
 
--- a/coordination/marjorambend/src/Fleet/WorkerHold.h
+++ b/coordination/marjorambend/src/Fleet/WorkerHold.h
@@ -61,7 +61,9 @@
 /// \brief A worker that this instance holds: no other instance may send it
 /// orders.
 struct WorkerHold {
+  /// As listed, but with the incarnation that last answered.
   WorkerReport Report_;
+  int64_t ListedIncarnation_ = 0; ///< The incarnation that the report is of.
   HoldPhase Phase_ = HoldPhase::Claiming;
   uint64_t FencingToken_ = 0;
   uint32_t FencedClaims_ = 0; ///< Claims that a higher token has fenced off.
--- a/coordination/test/Fleet/CrashTests.cpp
+++ b/coordination/test/Fleet/CrashTests.cpp
@@ -29,6 +29,7 @@
       for (FleetAction &One : Instance_.handle(Failed))
         All.push_back(std::move(One));
     }
+    Instance_.listRestart(NextIncarnation);
     for (int Poll = 0; Poll < 3; ++Poll) {
       for (FleetAction &One : Instance_.listRuns({}, {}, NextIncarnation))
         All.push_back(std::move(One));
--- a/coordination/test/Fleet/HolderTests.cpp
+++ b/coordination/test/Fleet/HolderTests.cpp
@@ -50,6 +50,20 @@
   expectCount<StartRun>(1, Instance_.handle(MessageReceived{{2}, Order}));
 }
 
+// Guards against starts by the labels of the previous incarnation.
+TEST(AWorkerThatIsHeld, GetsNoWorkByTheReportOfItsPreviousIncarnation) {
+  Instance_.listRuns({}, {}, 2);
+  Instance_.advance(40);
+  Instance_.listRuns({}, {}, 2);
+  CHECK(Instance_.State_.Holds_.at("w").Phase_ == HoldPhase::Open);
+  expectCount<StartRun>(0, Instance_.handle(Instance_.job()));
+  WorkerReport Changed = InstanceFixture::worker();
+  Changed.Labels_ = {"b"};
+  Changed.Incarnation_ = 2;
+  const FleetActions Actions = Instance_.handle(WorkersRead{{Changed}});
+  expectCount<StartRun>(1, Actions);
+}
+
 TEST(AWorkerThatIsHeld, IsFencedOffAndEmptiedBeforeItTakesWork) {
   InstanceFixture Other;
   Other.handle(WorkersRead{{InstanceFixture::worker()}});
@@ -230,6 +244,7 @@
       StopAnswered{"w", Run_, OrderResult::Accepted, std::nullopt});
   const uint64_t Before = Instance_.State_.Holds_.at("w").FencingToken_;
   Instance_.listRuns({});
+  Instance_.listRestart(2);
   expectCount<StartRun>(0, Instance_.listRuns({}, {}, 2));
   CHECK(Instance_.LastPoll_.Worker_.FencingToken_ > Before);
   expectCount<StartRun>(1, Instance_.listRuns({}, {}, 2));
--- a/coordination/test/Fleet/InstanceFixture.h
+++ b/coordination/test/Fleet/InstanceFixture.h
@@ -71,6 +71,14 @@
     listRuns({});
   }
 
+  /// \brief Lists the worker with a new incarnation, as the platform does when
+  /// the worker has restarted.
+  void listRestart(int64_t WorkerIncarnation) {
+    WorkerReport Report = State_.ListedWorkers_.at("w");
+    Report.Incarnation_ = WorkerIncarnation;
+    handle(WorkersRead{{Report}});
+  }
+
   /// \brief Answers the last PollWorker of the instance with these lists.
   FleetActions listRuns(const std::vector<RunId> &Running,
                         std::vector<ListedEnd> Ended = {},
--- a/coordination/test/Fleet/ShrinkingWorkerTests.cpp
+++ b/coordination/test/Fleet/ShrinkingWorkerTests.cpp
@@ -117,6 +117,7 @@
 
 TEST(AWorkerThatRejectsForWantOfRoom, MayHaveRoomAfterARestart) {
   rejectSecond();
+  Instance_.listRestart(2);
   Instance_.listRuns({}, {}, 2);
   Instance_.advance(40);
   FleetActions All = Instance_.listRuns({}, {}, 2);
