Cancel a job at its origin, whichever instance the caller asks

An instance looked only among its own jobs.

It now asks the others: a coordinator, which has a session with every instance, asks them all; any other instance lets the placer ask. 200 is answered once an instance has cancelled the job, 410 only once all have answered that they do not have it, and 503 with a retry time if one was lost or did not answer within a second. The others are asked even if the job is open here, since a resubmission may be open elsewhere.

--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -150,6 +150,12 @@
   void operator()(const RosterNews &M) const { applyRosterNews(Ctx_, M); }
   void operator()(const RosterQuery &) const { answerRosterQuery(Ctx_, From_); }
   void operator()(const CrashNews &M) const { handleCrashNews(Ctx_, M); }
+  void operator()(const CancelRequest &M) const {
+    handleCancelRequest(Ctx_, From_, M);
+  }
+  void operator()(const CancelAnswered &M) const {
+    handleCancelAnswered(Ctx_, From_, M);
+  }
 };
 
 // While this process was suspended, the other instances dropped their sessions
@@ -188,6 +194,7 @@
   tickHolds(Ctx);
   reviewSuspectJobs(Ctx);
   expireJobs(Ctx);
+  expireCancels(Ctx);
   reviewEarlyJobs(Ctx);
   reviewWaitingJobs(Ctx);
 }
@@ -222,6 +229,7 @@
   chooseCoordinators(Ctx);
   removeInstanceFromPlacer(Ctx, Run);
   stopRunsOfOrigin(Ctx, Run, LastMessage);
+  removeInstanceFromCancels(Ctx, Run);
   handleHolderLoss(Ctx, Run, Name);
   choosePlacer(Ctx);
   reviewHolds(Ctx);
@@ -244,7 +252,7 @@
   void operator()(const CrashesRead &E) const { applyStoredCrashes(Ctx_, E); }
   void operator()(JobSubmission &E) const { submitJob(Ctx_, std::move(E)); }
   void operator()(const JobAbandoned &E) const { abandonJob(Ctx_, E.Token_); }
-  void operator()(const JobCancel &E) const { cancelJob(Ctx_, E.Id_); }
+  void operator()(const JobCancel &E) const { handleCancel(Ctx_, E); }
   void operator()(const InstanceUp &E) const { handleInstanceUp(Ctx_, E); }
   void operator()(const InstanceDown &E) const {
     handleInstanceDown(Ctx_, E.Run_);
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -100,6 +100,7 @@
   /// When jobs are given up, with their numbers.
   std::set<std::pair<Milliseconds, uint64_t>> GiveUpTimes_;
   uint64_t NextJobNumber_ = 1;
+  PendingCancels Cancels_;
 
   std::map<std::string, WorkerHold> Holds_;
   /// Until when workers are not claimed again, by worker id.
--- a/coordination/marjorambend/src/Fleet/FleetActions.h
+++ b/coordination/marjorambend/src/Fleet/FleetActions.h
@@ -59,6 +59,12 @@
   RunId Run_;
 };
 
+/// \brief Answer a caller's request to cancel a job.
+struct AnswerCancel {
+  uint64_t Token_ = 0;
+  CancelResult Result_ = CancelResult::Unknown;
+};
+
 /// \brief Ask a worker for its lists; one PollAnswered follows.
 struct PollWorker {
   WorkerTarget Worker_;
@@ -110,9 +116,10 @@
 };
 
 /// \brief All actions that an instance of the fleet can request.
-using FleetAction = std::variant<AnswerJob, StartRun, StopRun, PollWorker,
-                                 SendMessage, DecodeConfigText, LinkInstances,
-                                 StoreCrash, ForgetCrash, LogDecision>;
+using FleetAction =
+    std::variant<AnswerJob, StartRun, StopRun, PollWorker, SendMessage,
+                 DecodeConfigText, LinkInstances, StoreCrash, ForgetCrash,
+                 LogDecision, AnswerCancel>;
 
 /// \brief Actions in the order in which they are to be done.
 using FleetActions = std::vector<FleetAction>;
--- a/coordination/marjorambend/src/Fleet/FleetEvents.h
+++ b/coordination/marjorambend/src/Fleet/FleetEvents.h
@@ -53,6 +53,8 @@
 /// \brief A caller cancels a job.
 struct JobCancel {
   uint64_t Id_ = 0;
+  uint64_t Token_ = 0; ///< Identifies the caller's request; one AnswerCancel
+                       ///< follows.
 };
 
 /// \brief A session with another instance has begun.
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_FLEET_FLEETMESSAGES_H
 #define MARJORAMBEND_FLEET_FLEETMESSAGES_H
 
+#include "marjorambend/src/Fleet/Cancels.h"
 #include "marjorambend/src/Fleet/CrashLedger.h"
 #include "marjorambend/src/Fleet/FleetTypes.h"
 
@@ -173,13 +174,27 @@
   std::vector<WorkerIncarnation> Withdrawn_;
 };
 
+/// \brief Asks an instance to cancel a job if it is open there.
+struct CancelRequest {
+  uint64_t Id_ = 0; ///< The job identity chosen by the caller.
+  /// Whether the sender asks all instances itself; otherwise the recipient
+  /// asks them on its behalf.
+  bool IsForwarded_ = false;
+};
+
+/// \brief Answers a CancelRequest.
+struct CancelAnswered {
+  uint64_t Id_ = 0;
+  CancelResult Result_ = CancelResult::Unknown;
+};
+
 /// \brief Any message between instances.
 using FleetMessage =
     std::variant<InstanceStatus, WorkersHeld, WorkersDropped, PlaceRequest,
                  PlaceWithdraw, PlaceRelease, PlaceAdopt, Placed, PlaceRefused,
                  StartOrder, StopOrder, RunEnded, ListNews, ConfigNews,
                  ConfigFreshness, WorkerPaces, RosterNews, RosterQuery,
-                 CrashNews>;
+                 CrashNews, CancelRequest, CancelAnswered>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -161,6 +161,9 @@
   /// platform sends new connections elsewhere, after two failed checks one
   /// second apart.
   Milliseconds StopGracePeriod_{2'500};
+  /// Time for which other instances are asked about a job that is cancelled;
+  /// a third of the three seconds within which its tasks must have stopped.
+  Milliseconds CancelWait_{1'000};
   /// Time after an outage of the platform's list in which workers that are
   /// missing from it are kept; the platform restores entries within about two
   /// seconds.
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -27,8 +27,8 @@
 /// Removes the request of a caller that has closed its connection; cancels the
 /// job if it was the last one.
 void abandonJob(FleetStepContext &Ctx, uint64_t Token);
-/// Cancels the open job \p Id at the request of a caller.
-void cancelJob(FleetStepContext &Ctx, uint64_t Id);
+/// Cancels the job \p Id if it is open here; returns whether it was.
+bool cancelJob(FleetStepContext &Ctx, uint64_t Id);
 void handlePlaced(FleetStepContext &Ctx, Incarnation From,
                   const Placed &Message);
 void handlePlaceRefused(FleetStepContext &Ctx, const PlaceRefused &Refused);
@@ -49,6 +49,20 @@
 void giveUpAllJobs(FleetStepContext &Ctx, std::string_view Why);
 /// @}
 
+/// Jobs that are cancelled at another instance than their origin; see
+/// Cancels.cpp.
+/// @{
+void handleCancel(FleetStepContext &Ctx, const JobCancel &Wanted);
+void handleCancelRequest(FleetStepContext &Ctx, Incarnation From,
+                         const CancelRequest &Wanted);
+void handleCancelAnswered(FleetStepContext &Ctx, Incarnation From,
+                          const CancelAnswered &Given);
+/// Does not await an answer of \p Run, whose session has ended.
+void removeInstanceFromCancels(FleetStepContext &Ctx, Incarnation Run);
+/// Answers cancels that other instances have not answered in time.
+void expireCancels(FleetStepContext &Ctx);
+/// @}
+
 /// Workers held by this instance; see Holder.cpp and Claims.cpp.
 /// @{
 void startRuns(FleetStepContext &Ctx, Incarnation Origin,
--- a/coordination/marjorambend/src/Fleet/Origin.cpp
+++ b/coordination/marjorambend/src/Fleet/Origin.cpp
@@ -288,27 +288,30 @@
   stopJob(Ctx, Job);
 }
 
-static void cancelEarlyJobs(FleetStepContext &Ctx, uint64_t Id) {
-  std::erase_if(Ctx.State_.EarlyJobs_, [&Ctx, Id](const auto &Entry) {
-    const JobSubmission &Submission = Entry.second;
-    if (Submission.Id_ != Id)
-      return false;
-    rejectSubmission(Ctx, Submission, JobOutcome::Cancelled, "cancelled");
-    return true;
-  });
+static bool cancelEarlyJobs(FleetStepContext &Ctx, uint64_t Id) {
+  const std::size_t Cancelled =
+      std::erase_if(Ctx.State_.EarlyJobs_, [&Ctx, Id](const auto &Entry) {
+        const JobSubmission &Submission = Entry.second;
+        if (Submission.Id_ != Id)
+          return false;
+        rejectSubmission(Ctx, Submission, JobOutcome::Cancelled, "cancelled");
+        return true;
+      });
+  return Cancelled > 0;
 }
 
-void cancelJob(FleetStepContext &Ctx, uint64_t Id) {
-  cancelEarlyJobs(Ctx, Id);
+bool cancelJob(FleetStepContext &Ctx, uint64_t Id) {
+  const bool WasEarly = cancelEarlyJobs(Ctx, Id);
   const auto Found = Ctx.State_.JobById_.find(Id);
   if (Found == Ctx.State_.JobById_.end())
-    return;
+    return WasEarly;
   OriginJob &Job = Ctx.State_.Jobs_.at(Found->second);
   if (Job.IsAnswered_)
-    return;
+    return WasEarly;
   increment(Ctx.State_.Counters_, Counter::JobsCancelled);
   answerJob(Ctx, Job, JobOutcome::Cancelled, "cancelled");
   stopJob(Ctx, Job);
+  return true;
 }
 
 // Start orders of one job; each holder gets one order, so that the task
--- a/coordination/test/Golden/FleetSessions.cpp
+++ b/coordination/test/Golden/FleetSessions.cpp
@@ -19,6 +19,9 @@
   std::string operator()(const AnswerJob &A) const {
     return "answer " + std::to_string(A.Token_) + ": " + nameOf(A.Outcome_);
   }
+  std::string operator()(const AnswerCancel &A) const {
+    return "answer cancel " + std::to_string(A.Token_);
+  }
   std::string operator()(const StartRun &A) const {
     return "start " + describe(A.Run_) + " on " + A.Worker_.Id_;
   }
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -58,6 +58,9 @@
   void operator()(const AnswerJob &A) const {
     D_.Callers_.reply(A.Token_, encodeAnswer(A));
   }
+  void operator()(const AnswerCancel &A) const {
+    D_.Callers_.reply(A.Token_, encodeCancel(A.Result_));
+  }
   void operator()(const StartRun &A) const { D_.Workers_.start(A); }
   void operator()(const StopRun &A) const { D_.Workers_.stop(A); }
   void operator()(const PollWorker &A) const { D_.Workers_.poll(A); }
@@ -253,9 +256,8 @@
     return encodeState(stateOf(State_, *Id));
   if (Request.Method_ != "DELETE")
     return jsonReply(405, R"({"error":"use POST, GET or DELETE"})");
-  const bool IsKnown = stateOf(State_, *Id) != JobState::Unknown;
-  handle(JobCancel{*Id});
-  return jsonReply(IsKnown ? 200 : 410, "{}");
+  handle(JobCancel{*Id, Request.Token_});
+  return std::nullopt;
 }
 
 std::optional<HttpReply> FleetDaemon::submit(HttpRequest &&Request,
--- a/transport/marjorambend/src/Transport/FleetDecoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetDecoder.cpp
@@ -23,6 +23,12 @@
   return Given == nullptr ? std::string() : Given->str();
 }
 
+static CancelResult toCancelResult(uint8_t Value) {
+  return Value <= static_cast<uint8_t>(CancelResult::Cancelled)
+             ? static_cast<CancelResult>(Value)
+             : CancelResult::Unknown;
+}
+
 static RunEnd toEnd(uint8_t Value) {
   return Value <= static_cast<uint8_t>(RunEnd::Superseded)
              ? static_cast<RunEnd>(Value)
@@ -249,6 +255,14 @@
     return toPaces(*Frame.body_as_WorkerPaces());
   case fleetwire::Body::CrashNews:
     return toCrashNews(*Frame.body_as_CrashNews());
+  case fleetwire::Body::CancelRequest: {
+    const auto &M = *Frame.body_as_CancelRequest();
+    return CancelRequest{M.id(), M.is_forwarded()};
+  }
+  case fleetwire::Body::CancelAnswered: {
+    const auto &M = *Frame.body_as_CancelAnswered();
+    return CancelAnswered{M.id(), toCancelResult(M.result())};
+  }
   case fleetwire::Body::RosterQuery:
     return RosterQuery{};
   case fleetwire::Body::Confirmation:
--- a/transport/marjorambend/src/Transport/FleetEncoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetEncoder.cpp
@@ -114,6 +114,16 @@
                                           static_cast<uint8_t>(M.End_), Worker)
                 .Union()};
   }
+  FleetBody operator()(const CancelRequest &M) const {
+    return {fleetwire::Body::CancelRequest,
+            fleetwire::CreateCancelRequest(B_, M.Id_, M.IsForwarded_).Union()};
+  }
+  FleetBody operator()(const CancelAnswered &M) const {
+    return {fleetwire::Body::CancelAnswered,
+            fleetwire::CreateCancelAnswered(B_, M.Id_,
+                                            static_cast<uint8_t>(M.Result_))
+                .Union()};
+  }
   FleetBody operator()(const PlaceAdopt &M) const {
     const auto Worker = text(M.Worker_);
     const fleetwire::Room Needs = toWire(M.Needs_);
--- a/transport/test/FleetCodecTests.cpp
+++ b/transport/test/FleetCodecTests.cpp
@@ -103,6 +103,9 @@
   STRCMP_EQUAL(
       "w1",
       roundTrip(PlaceRelease{1, 2, RunEnd::NotStarted, "w1"}).Worker_.c_str());
+  CHECK(roundTrip(CancelRequest{7, true}).IsForwarded_);
+  CHECK(roundTrip(CancelAnswered{7, CancelResult::NotFound}).Result_ ==
+        CancelResult::NotFound);
   const PlaceAdopt Adoption = roundTrip(sampleAdoption());
   CHECK(Adoption.IsSuspect_);
   LONGS_EQUAL(3, Adoption.Task_);
