Keep tasks away from evacuated data centres

Cause: an operator had no way to request that nothing more be sent to the workers of a data centre.

Change: rows `evacuate/ZONE` of the store's table `op` are read with the configuration and its feed, without additional calls. ConfigFreshness carries the whole set to all instances of the data centre, at once after a change and to new sessions. Holders refuse starts there and repeat none; the placer treats the workers as closed and their capacity as not listed, and admits them gradually once the row is removed. Visible in the log, the metrics and `marjorambendctl top`.

--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -189,6 +189,7 @@
   reviewSuspectJobs(Ctx);
   expireJobs(Ctx);
   reviewEarlyJobs(Ctx);
+  admitReturningWorkers(Ctx);
   reviewWaitingJobs(Ctx);
 }
 
@@ -200,6 +201,8 @@
       {{"other", Up.Info_.Name_}, {"data_centre", Up.Info_.DataCentre_}});
   sendStatus(Ctx, Up.Info_.Run_);
   sendOwnCrashes(Ctx, Up.Info_.Run_);
+  if (!State.Evacuations_.DataCentres_.empty())
+    sendConfigFreshness(Ctx, Up.Info_.Run_);
   if (!State.Roster_.IsRead_)
     sendMessage(Ctx, Up.Info_.Run_, RosterQuery{});
 }
@@ -236,6 +239,9 @@
   void operator()(const ConfigConfirmed &) const {
     Ctx_.State_.ConfigReadAt_ = Ctx_.Now_;
   }
+  void operator()(const EvacuationsRead &E) const {
+    applyEvacuationsRead(Ctx_, E);
+  }
   void operator()(const WorkersRead &E) const { handleWorkersRead(Ctx_, E); }
   void operator()(const WorkersReadFailed &) const {
     Ctx_.State_.IsListFresh_ = false;
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -79,6 +79,7 @@
   Milliseconds ListReadAt_;       ///< When this instance last read it.
   Milliseconds ConfigNewsAt_;     ///< When a reader last matched the store.
   Milliseconds ConfigReadAt_;     ///< When this instance last did so.
+  Evacuations Evacuations_; ///< Of the whole fleet, as distributed with that.
 
   std::map<Incarnation, FleetMember> Members_;
   Roster Roster_;
--- a/coordination/marjorambend/src/Fleet/FleetEvents.h
+++ b/coordination/marjorambend/src/Fleet/FleetEvents.h
@@ -26,6 +26,13 @@
 /// \brief The store has confirmed that the known configuration is the newest.
 struct ConfigConfirmed {};
 
+/// \brief The complete set of evacuated data centres was read in the store, or
+/// a change of it.
+struct EvacuationsRead {
+  uint64_t Version_ = 0; ///< Store version of the read.
+  DataCentreNames DataCentres_;
+};
+
 /// \brief The platform's whole list of workers was read.
 struct WorkersRead {
   std::vector<WorkerReport> Workers_;
@@ -137,11 +144,11 @@
 
 /// \brief All events that an instance of the fleet handles.
 using FleetEvent =
-    std::variant<FleetTick, ConfigRead, ConfigConfirmed, WorkersRead,
-                 WorkersReadFailed, InstancesRead, CrashesRead, JobSubmission,
-                 JobAbandoned, JobCancel, InstanceUp, InstanceDown,
-                 MessageReceived, StartAnswered, StopAnswered, PollAnswered,
-                 FleetStop, FleetStopForced>;
+    std::variant<FleetTick, ConfigRead, ConfigConfirmed, EvacuationsRead,
+                 WorkersRead, WorkersReadFailed, InstancesRead, CrashesRead,
+                 JobSubmission, JobAbandoned, JobCancel, InstanceUp,
+                 InstanceDown, MessageReceived, StartAnswered, StopAnswered,
+                 PollAnswered, FleetStop, FleetStopForced>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -2,6 +2,7 @@
 #define MARJORAMBEND_FLEET_FLEETMESSAGES_H
 
 #include "marjorambend/src/Fleet/CrashLedger.h"
+#include "marjorambend/src/Fleet/Evacuation.h"
 #include "marjorambend/src/Fleet/FleetTypes.h"
 
 #include <string>
@@ -147,10 +148,13 @@
   uint64_t Fingerprint_ = 0; ///< Of the whole list.
 };
 
-/// \brief Age of the configuration at the reader of a data centre.
+/// \brief Age of the configuration at the reader of a data centre, and the
+/// evacuated data centres, which are read with it.
 struct ConfigFreshness {
   Milliseconds Age_;     ///< Since the reader last matched the store.
   uint64_t Version_ = 0; ///< In force at the reader.
+  uint64_t EvacuationsVersion_ = 0; ///< 0: the sender has not read them.
+  DataCentreNames Evacuated_;
 };
 
 /// \brief All instances known to the sender.
--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -68,6 +68,10 @@
                               State.ListReadAt_, Now);
   Text += internal::renderAge("configuration_age_milliseconds",
                               State.ConfigNewsAt_, State.ConfigReadAt_, Now);
+  Text += renderGauge("data_centres_evacuated",
+                      State.Evacuations_.DataCentres_.size());
+  Text += renderGauge("data_centres_returning",
+                      State.Evacuations_.Returning_.size());
   Text += renderGauge("is_placer", State.Placer_ == State.Self_.Run_);
   Text += renderGauge("ready", isReady(State) ? 1 : 0);
   Text += renderHistogramType("answer_milliseconds");
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -2,6 +2,7 @@
 #define MARJORAMBEND_FLEET_FLEETOPTIONS_H
 
 #include "marjorambend/src/Fleet/CrashLedger.h"
+#include "marjorambend/src/Fleet/Evacuation.h"
 #include "marjorambend/src/Scheduling/Overload.h"
 #include "marjorambend/src/Support/Milliseconds.h"
 
@@ -169,6 +170,7 @@
   PlacerOptions Placer_;
   RosterOptions Roster_;
   CrashOptions Crashes_;
+  EvacuationOptions Evacuation_;
 };
 
 } // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -93,11 +93,26 @@
 void applyListNews(FleetStepContext &Ctx, const ListNews &News);
 void applyConfigNews(FleetStepContext &Ctx, const ConfigNews &News);
 void applyConfigFreshness(FleetStepContext &Ctx, const ConfigFreshness &Given);
+/// Sends the age of the configuration and the evacuated data centres.
+void sendConfigFreshness(FleetStepContext &Ctx, Incarnation To);
+void applyEvacuationsRead(FleetStepContext &Ctx, const EvacuationsRead &Read);
 /// Applies a list that this instance has read itself, and sends it to the
 /// other instances of its data centre.
 void handleWorkersRead(FleetStepContext &Ctx, const WorkersRead &Read);
 /// @}
 
+/// Evacuation of data centres; see EvacuationStep.cpp.
+/// @{
+/// Applies a set of evacuated data centres; returns whether it has changed.
+bool updateEvacuations(FleetStepContext &Ctx, uint64_t Version,
+                       const DataCentreNames &DataCentres,
+                       std::string_view From);
+/// Whether the worker may be given tasks.
+bool isAdmitted(const FleetStepContext &Ctx, const WorkerReport &Worker);
+/// Opens workers for the placer whose data centre returns from an evacuation.
+void admitReturningWorkers(FleetStepContext &Ctx);
+/// @}
+
 /// Placement of the tasks of all instances; see Placer.cpp and
 /// PlacerQueue.cpp.
 /// @{
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -264,6 +264,11 @@
     return;
   }
   WorkerHold &Hold = *Found;
+  if (isEvacuated(Ctx.State_.Evacuations_, Hold.Report_.DataCentre_)) {
+    refuseStart(Ctx, Origin, Order.Job_, Wanted,
+                "the data centre is evacuated");
+    return;
+  }
   if (!isOpen(Hold, Ctx.Now_) || !Hold.ClockOffset_ ||
       !canRenewLease(Ctx, Hold)) {
     refuseStart(Ctx, Origin, Order.Job_, Wanted,
--- a/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
+++ b/coordination/marjorambend/src/Fleet/HolderAnswers.cpp
@@ -22,6 +22,7 @@
   // Does not repeat it either once a poll is to show whether the run was lost
   // with the incarnation that the order was sent to.
   return IsRecent && !Run.IsRepeated_ && Run.FirstConclusivePoll_ == 0 &&
+         !isEvacuated(Ctx.State_.Evacuations_, Hold.Report_.DataCentre_) &&
          Run.Phase_ == RunPhase::Starting && Hold.Phase_ == HoldPhase::Open &&
          canRenewLease(Ctx, Hold);
 }
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -81,6 +81,26 @@
     Ctx.Out_.push_back(DecodeConfigText{News.Text_});
 }
 
+static ConfigFreshness describeConfig(const FleetInstance &State,
+                                      Milliseconds Now) {
+  const Milliseconds At = std::max(State.ConfigReadAt_, State.ConfigNewsAt_);
+  return {.Age_ = Now - At,
+          .Version_ = State.Config_.Version_,
+          .EvacuationsVersion_ = State.Evacuations_.Version_,
+          .Evacuated_ = State.Evacuations_.DataCentres_};
+}
+
+void sendConfigFreshness(FleetStepContext &Ctx, Incarnation To) {
+  sendMessage(Ctx, To, describeConfig(Ctx.State_, Ctx.Now_));
+}
+
+// Also sent if this instance is not the reader: it has read the store because
+// the reader is silent or its calls are not answered.
+void applyEvacuationsRead(FleetStepContext &Ctx, const EvacuationsRead &Read) {
+  if (updateEvacuations(Ctx, Read.Version_, Read.DataCentres_, "store"))
+    sendToDataCentre(Ctx, describeConfig(Ctx.State_, Ctx.Now_), Audience::All);
+}
+
 void handleWorkersRead(FleetStepContext &Ctx, const WorkersRead &Read) {
   FleetInstance &State = Ctx.State_;
   const std::map<std::string, WorkerReport> Before = State.ListedWorkers_;
@@ -88,10 +108,7 @@
   State.ListReadAt_ = Ctx.Now_;
   if (!isReader(State, Ctx.Now_))
     return;
-  sendToDataCentre(Ctx,
-                   ConfigFreshness{.Age_ = Ctx.Now_ - State.ConfigReadAt_,
-                                   .Version_ = State.Config_.Version_},
-                   Audience::All);
+  sendToDataCentre(Ctx, describeConfig(State, Ctx.Now_), Audience::All);
   ListNews News{.Fingerprint_ = fingerprintOf(State.ListedWorkers_)};
   for (const auto &[Id, Report] : State.ListedWorkers_) {
     const auto Known = Before.find(Id);
@@ -107,9 +124,16 @@
 
 void applyConfigFreshness(FleetStepContext &Ctx, const ConfigFreshness &Given) {
   FleetInstance &State = Ctx.State_;
+  const uint64_t Evacuations = Given.EvacuationsVersion_;
+  if (Evacuations > 0)
+    updateEvacuations(Ctx, Evacuations, Given.Evacuated_, "instance");
+  // An instance of an earlier version does not read the evacuations, so that it
+  // cannot confirm them.
+  const bool KnowsEvacuations =
+      Evacuations > 0 || State.Evacuations_.Version_ == 0;
   // A configuration that the reader sent before the session began has been
   // missed here; it has to be read from the store.
-  if (Given.Version_ <= State.Config_.Version_)
+  if (Given.Version_ <= State.Config_.Version_ && KnowsEvacuations)
     State.ConfigNewsAt_ = std::max(State.ConfigNewsAt_, Ctx.Now_ - Given.Age_);
   else
     State.ConfigNewsAt_ = {};
--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -50,12 +50,14 @@
     PlacerWorker &Known = State.Placing_.Workers_[Id];
     // If two holders report a worker, the fenced-off one reports it as closed.
     const bool IsContested =
-        Known.Holder_ != Holder && Known.Held_.IsOpen_ && !Worker.IsOpen_;
+        Known.Holder_ != Holder && Known.IsReportedOpen_ && !Worker.IsOpen_;
     if (IsContested)
       continue;
     if (Worker.Report_.Incarnation_ != Known.Held_.Report_.Incarnation_)
       Known.BackOffUntil_ = {};
     Known.Held_ = Worker;
+    Known.IsReportedOpen_ = Worker.IsOpen_;
+    Known.Held_.IsOpen_ = Worker.IsOpen_ && isAdmitted(Ctx, Worker.Report_);
     Known.Holder_ = Holder;
     updateWorkerIndex(State.Placing_, Id, Known);
   }
--- a/coordination/marjorambend/src/Fleet/PlacerCapacity.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerCapacity.cpp
@@ -26,7 +26,8 @@
   const auto IsLargeEnough = [&](const WorkerReport &Worker) {
     const bool IsCandidate = isMeantFor(Job, Worker);
     HasCandidates = HasCandidates || IsCandidate;
-    return IsCandidate && fits(Job.Request_.Needs_, Worker.Capacity_);
+    return IsCandidate && fits(Job.Request_.Needs_, Worker.Capacity_) &&
+           !isEvacuated(State.Evacuations_, Worker.DataCentre_);
   };
   for (const auto &[Id, Worker] : State.ListedWorkers_) {
     if (IsLargeEnough(Worker))
@@ -39,4 +40,10 @@
   return HasCandidates;
 }
 
+std::string_view whyExceedsAllWorkers(const FleetInstance &State) {
+  return State.Evacuations_.DataCentres_.empty()
+             ? "no worker is large enough"
+             : "no worker outside evacuated data centres is large enough";
+}
+
 } // namespace marjorambend::internal
--- a/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
@@ -31,7 +31,8 @@
 
 // A worker should be open soon if it does not drain and a coordinator of its
 // data centre can be reached.
-static int64_t listedMilliCores(const FleetInstance &State) {
+static int64_t listedMilliCores(const FleetStepContext &Ctx) {
+  const FleetInstance &State = Ctx.State_;
   std::set<std::string> Reachable;
   if (State.IsCoordinating_)
     Reachable.insert(State.Self_.DataCentre_);
@@ -41,7 +42,8 @@
   }
   int64_t Sum = 0;
   for (const auto &[Id, Report] : State.ListedWorkers_) {
-    if (!Report.IsDraining_ && Reachable.contains(Report.DataCentre_))
+    if (!Report.IsDraining_ && Reachable.contains(Report.DataCentre_) &&
+        isAdmitted(Ctx, Report))
       Sum += Report.Capacity_.MilliCores_;
   }
   return Sum;
@@ -76,7 +78,7 @@
     if (Worker.Held_.IsOpen_)
       Capacity.OpenMilliCores_ += Worker.Held_.Report_.Capacity_.MilliCores_;
   }
-  Capacity.ListedMilliCores_ = listedMilliCores(State);
+  Capacity.ListedMilliCores_ = listedMilliCores(Ctx);
   Capacity.LastSettledAt_ =
       isSettled(Capacity, State.Options_.Placer_.Overload_)
           ? Ctx.Now_
@@ -239,7 +241,7 @@
   const PlacerJob &Job = Ctx.State_.Placing_.Jobs_.at(Key);
   if (isStarted(Job) || !exceedsAllWorkers(Ctx.State_, Job))
     return false;
-  refuseJob(Ctx, Key, "no worker is large enough",
+  refuseJob(Ctx, Key, whyExceedsAllWorkers(Ctx.State_),
             Ctx.State_.Options_.Placer_.Retry_.TooLargeRetryAfter_);
   return true;
 }
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -40,6 +40,9 @@
   Incarnation Holder_;
   Room Reserved_; ///< By placements that are not released yet.
   Milliseconds BackOffUntil_;
+  /// The holder reports it as open; Held_.IsOpen_ also requires that its data
+  /// centre admits tasks. \sa isAdmitted
+  bool IsReportedOpen_ = false;
   std::optional<WorkerIndexKey> Key_; ///< Not set if it is not indexed.
 };
 
--- a/coordination/marjorambend/src/Fleet/PlacerStep.h
+++ b/coordination/marjorambend/src/Fleet/PlacerStep.h
@@ -26,9 +26,12 @@
 void removeIfDone(PlacerState &Placer, const PlacerJobKey &Key);
 
 /// \brief Whether workers that could run the job are listed, and all of them
-/// are too small, even when idle.
+/// are too small, even when idle, or in evacuated data centres.
 bool exceedsAllWorkers(const FleetInstance &State, const PlacerJob &Job);
 
+/// \brief Reason for the refusal of such a job.
+std::string_view whyExceedsAllWorkers(const FleetInstance &State);
+
 /// \brief Whether a task of the job runs or has run.
 inline bool isStarted(const PlacerJob &Job) {
   return Job.Request_.IsStarted_ || !Job.Reservations_.empty();
--- a/coordination/test/Simulation/FleetPromises.cpp
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -102,6 +102,16 @@
   return Options;
 }
 
+/// Data centres are evacuated under the faults of briefRun, at times both.
+static FleetSimulationOptions evacuationRun(uint64_t Seed) {
+  FleetSimulationOptions Options = briefRun(Seed);
+  auto UpTo = makeCountGenerator(Seed ^ 0xBF58476D1CE4E5B9ULL);
+  Options.Evacuations_ = 1 + UpTo(2);
+  Options.LoadUntil_ = {11'000};
+  Options.Duration_ = {17'000};
+  return Options;
+}
+
 /// Wide jobs whose tasks need different workers, under the faults of
 /// standInRun. Most of their tasks wait, so that each change of the placer
 /// finds some of a job's tasks running and others waiting.
@@ -159,11 +169,13 @@
   const bool IsStandIn = std::getenv("MARJORAMBEND_STAND_IN") != nullptr;
   const bool IsShrink = std::getenv("MARJORAMBEND_SHRINK") != nullptr;
   const bool IsLimited = std::getenv("MARJORAMBEND_LIMITED") != nullptr;
-  FleetSimulationOptions Options = IsStandIn   ? standInRun(SeedNumber)
-                                   : IsShrink  ? shrinkRun(SeedNumber)
-                                   : IsLimited ? limitedRun(SeedNumber)
-                                   : IsBrief   ? briefRun(SeedNumber)
-                                               : allFaults(SeedNumber);
+  const bool IsEvacuation = std::getenv("MARJORAMBEND_EVACUATION") != nullptr;
+  FleetSimulationOptions Options = IsStandIn      ? standInRun(SeedNumber)
+                                   : IsShrink     ? shrinkRun(SeedNumber)
+                                   : IsLimited    ? limitedRun(SeedNumber)
+                                   : IsEvacuation ? evacuationRun(SeedNumber)
+                                   : IsBrief      ? briefRun(SeedNumber)
+                                                  : allFaults(SeedNumber);
   Options.IgnoresOrdersBeforeAnyPoll_ =
       std::getenv("MARJORAMBEND_STRICT") == nullptr;
   STRCMP_EQUAL("", violationsIn(Options).c_str());
@@ -209,6 +221,16 @@
   }));
 }
 
+// Guards against starts that a killed placer, a frozen reader or a lost answer
+// of the store brings to an evacuated data centre.
+TEST(FleetPromises_, NoTaskStartsInAnEvacuatedDataCentre) {
+  CHECK(rc::check("no task starts after the bound", [] {
+    const auto Seed = *rc::gen::noShrink(
+        rc::gen::resize(100, rc::gen::arbitrary<uint64_t>()));
+    requireNoViolations(Seed, evacuationRun);
+  }));
+}
+
 // Seeds that failed once, with the cause. They guard against a regression.
 TEST(FleetPromises_, WorldsThatHaveFailedBefore) {
   for (const uint64_t Seed :
@@ -270,6 +292,15 @@
   }
 }
 
+TEST(FleetPromises_, EvacuationWorldsThatHaveFailedBefore) {
+  for (const uint64_t Seed :
+       {// Reader got no answer from the store, and the instance that had read
+        // the evacuation did not tell it.
+        1237577295312193019ULL}) {
+    STRCMP_EQUAL("", violationsIn(evacuationRun(Seed)).c_str());
+  }
+}
+
 static bool isDetected(InjectedFleetBug Bug, OptionsMaker MakeOptions) {
   for (uint64_t Seed = 1; Seed <= 150; ++Seed) {
     FleetSimulationOptions Options = MakeOptions(Seed);
@@ -296,6 +327,7 @@
     CHECK(isDetected(Bug, briefRun));
   }
   CHECK(isDetected(InjectedFleetBug::HideShrinks, shrinkRun));
+  CHECK(isDetected(InjectedFleetBug::HideEvacuations, evacuationRun));
 }
 
 int main(int Count, char **Arguments) { return runTests(Count, Arguments, 40); }
--- a/coordination/test/Simulation/FleetSimulation.cpp
+++ b/coordination/test/Simulation/FleetSimulation.cpp
@@ -162,6 +162,7 @@
     if (!isListUnavailableIn(Nodes_[Index].DataCentre_) &&
         Nodes_[Index].Epoch_ == Epoch)
       Nodes_[Index].HasStoreClock_ = true;
+    followEvacuations(Index, Epoch);
     deliver(Index, Epoch, ConfigRead{Config});
   });
   after(randomBetween(5, 60),
@@ -516,6 +517,7 @@
           recordStart(Worker, Start.Run_);
           checkTasksPerWorker(Worker, Start.Run_);
           checkCapacity(Index, Worker);
+          checkEvacuation(Index, Worker);
         }
         if (Result != OrderResult::Accepted)
           ++Result_.RejectedStarts_;
@@ -873,6 +875,7 @@
          after(Duration, [this, Index] { Nodes_[Index].ClockLag_ = {0}; });
        });
   scheduleShrinks();
+  scheduleEvacuations();
 }
 
 void FleetSimulation::freezeNode(std::size_t Index, int64_t Duration) {
--- a/coordination/test/Simulation/FleetSimulation.h
+++ b/coordination/test/Simulation/FleetSimulation.h
@@ -49,7 +49,8 @@
   ReportAllAsNotRun,         ///< Failed jobs are always answered as not run.
   LongLeases,                ///< Leases outlast the resubmission delay.
   HideShrinks,               ///< The worker list shows the full capacity.
-  IgnoreCrashes              ///< No number of crashes makes a task fail.
+  IgnoreCrashes,             ///< No number of crashes makes a task fail.
+  HideEvacuations            ///< Reads of the store omit the evacuations.
 };
 
 /// \brief Load, size and faults of a fleet simulation.
@@ -84,7 +85,8 @@
   uint32_t WorkerCrashes_ = 0;
   uint32_t Drains_ = 0;
   uint32_t ListOutages_ = 0;
-  uint32_t Shrinks_ = 0; ///< Workers whose capacity shrinks for some time.
+  uint32_t Shrinks_ = 0;     ///< Workers whose capacity shrinks for some time.
+  uint32_t Evacuations_ = 0; ///< Requests to evacuate a data centre.
   bool WorkersGuardCapacity_ = true;
   /// Probability that an order gets no answer and is carried out only after
   /// 2 s to MaxApplyDelay_.
@@ -119,6 +121,9 @@
   std::map<std::string, KindResult> Kinds_;
   uint64_t Starts_ = 0;
   uint64_t RejectedStarts_ = 0;
+  /// Latest start in a data centre after the request for its evacuation, by an
+  /// instance in contact with the store.
+  Milliseconds LatestEvacuatedStart_;
   double WorthShare_ = 0;
   /// Messages sent and received by each instance, by name.
   std::map<std::string, uint64_t> Messages_;
@@ -226,6 +231,11 @@
   void scheduleWorkerFaults();
   void scheduleAddedFaults();
   void scheduleShrinks();
+  void scheduleEvacuations();
+  void readEvacuations(std::size_t Index, uint64_t Epoch);
+  void followEvacuations(std::size_t Index, uint64_t Epoch);
+  bool wasInContact(std::size_t Index) const;
+  void checkEvacuation(std::size_t Index, const SimWorker &Worker);
   void setCapacity(const std::string &Id, const Room &Capacity);
   bool wasListUnavailable(const std::string &DataCentre) const;
   void checkCapacity(std::size_t Index, const SimWorker &Worker);
@@ -291,6 +301,9 @@
   std::map<uint64_t, Caller> Callers_;
   std::map<std::pair<uint64_t, uint32_t>, std::string> RunningOn_;
   uint64_t NextToken_ = 1;
+  /// Since when data centres are evacuated.
+  std::map<std::string, Milliseconds> EvacuatedAt_;
+  uint64_t OpVersion_ = 1; ///< Store version of the evacuations.
   bool IsListUnavailable_ = false;
   /// End of the last outage of the list by data centre; empty for all.
   std::map<std::string, Milliseconds> ListRestoredAt_;
--- a/ctl/Top.cpp
+++ b/ctl/Top.cpp
@@ -79,6 +79,7 @@
       .Version_ = countIn(After, "configuration_version"),
       .ListAgeMs_ =
           static_cast<int64_t>(valueIn(After, "list_age_milliseconds")),
+      .Evacuated_ = countIn(After, "data_centres_evacuated"),
       .Completed_ = RateOf("completed"),
       .NotRun_ = RateOf("not_run"),
       .MayHaveRun_ = RateOf("may_have_run"),
@@ -98,6 +99,7 @@
           {"workers_held", Row.HeldWorkers_},
           {"configuration_version", Row.Version_},
           {"list_age_ms", Row.ListAgeMs_},
+          {"data_centres_evacuated", Row.Evacuated_},
           {"completed_per_s", Row.Completed_},
           {"not_run_per_s", Row.NotRun_},
           {"may_have_run_per_s", Row.MayHaveRun_},
@@ -110,23 +112,26 @@
     std::printf("%-21s not reached\n", Row.Address_.c_str());
     return;
   }
-  std::printf("%-21s %-5s %-6s %6llu %7llu %7llu %7llu %6lld %7.1f %7.1f %7.1f "
-              "%6lld %6lld\n",
-              Row.Address_.c_str(), Row.IsReady_ ? "yes" : "no",
-              Row.IsPlacer_ ? "yes" : "-",
-              static_cast<unsigned long long>(Row.OpenJobs_),
-              static_cast<unsigned long long>(Row.WaitingJobs_),
-              static_cast<unsigned long long>(Row.HeldWorkers_),
-              static_cast<unsigned long long>(Row.Version_),
-              static_cast<long long>(Row.ListAgeMs_), Row.Completed_,
-              Row.NotRun_, Row.MayHaveRun_, static_cast<long long>(Row.P50Ms_),
-              static_cast<long long>(Row.P99Ms_));
+  std::printf(
+      "%-21s %-5s %-6s %6llu %7llu %7llu %7llu %6lld %5llu %7.1f %7.1f %7.1f "
+      "%6lld %6lld\n",
+      Row.Address_.c_str(), Row.IsReady_ ? "yes" : "no",
+      Row.IsPlacer_ ? "yes" : "-",
+      static_cast<unsigned long long>(Row.OpenJobs_),
+      static_cast<unsigned long long>(Row.WaitingJobs_),
+      static_cast<unsigned long long>(Row.HeldWorkers_),
+      static_cast<unsigned long long>(Row.Version_),
+      static_cast<long long>(Row.ListAgeMs_),
+      static_cast<unsigned long long>(Row.Evacuated_), Row.Completed_,
+      Row.NotRun_, Row.MayHaveRun_, static_cast<long long>(Row.P50Ms_),
+      static_cast<long long>(Row.P99Ms_));
 }
 
 static void printTable(const std::vector<TopRow> &Rows) {
-  std::printf("%-21s %-5s %-6s %6s %7s %7s %7s %6s %7s %7s %7s %6s %6s\n",
+  std::printf("%-21s %-5s %-6s %6s %7s %7s %7s %6s %5s %7s %7s %7s %6s %6s\n",
               "instance", "ready", "placer", "open", "waiting", "workers",
-              "config", "list", "done/s", "not/s", "may/s", "p50", "p99");
+              "config", "list", "evac", "done/s", "not/s", "may/s", "p50",
+              "p99");
   for (const TopRow &Row : Rows)
     printRow(Row);
 }
--- a/ctl/Top.h
+++ b/ctl/Top.h
@@ -28,13 +28,14 @@
   uint64_t OpenJobs_ = 0;
   uint64_t WaitingJobs_ = 0;
   uint64_t HeldWorkers_ = 0;
-  uint64_t Version_ = 0;  ///< Of the configuration.
-  int64_t ListAgeMs_ = 0; ///< Since the list of workers was confirmed.
-  double Completed_ = 0;  ///< Answers per second.
-  double NotRun_ = 0;     ///< Answers per second.
-  double MayHaveRun_ = 0; ///< Answers per second.
-  int64_t P50Ms_ = 0;     ///< Of completed answers; bounds of buckets, or -1
-  int64_t P99Ms_ = 0;     ///< beyond the last one.
+  uint64_t Version_ = 0;   ///< Of the configuration.
+  int64_t ListAgeMs_ = 0;  ///< Since the list of workers was confirmed.
+  uint64_t Evacuated_ = 0; ///< Data centres in which no task may start.
+  double Completed_ = 0;   ///< Answers per second.
+  double NotRun_ = 0;      ///< Answers per second.
+  double MayHaveRun_ = 0;  ///< Answers per second.
+  int64_t P50Ms_ = 0;      ///< Of completed answers; bounds of buckets, or -1
+  int64_t P99Ms_ = 0;      ///< beyond the last one.
 };
 
 /// \brief Compares two scrapes that lie \p Between apart.
--- a/ctl/test/TopTests.cpp
+++ b/ctl/test/TopTests.cpp
@@ -34,6 +34,8 @@
   CHECK_FALSE(Row.IsPlacer_);
   LONGS_EQUAL(7, Row.OpenJobs_);
   LONGS_EQUAL(240, Row.ListAgeMs_);
+  LONGS_EQUAL(
+      2, between({}, "marjorambend_data_centres_evacuated 2\n").Evacuated_);
 }
 
 TEST(ARowOfTop, CountsAnswersASecond) {
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -35,6 +35,7 @@
   Options.DataCentre_ = Settings.DataCentre_;
   Options.CpuShare_ = Settings.CpuShare_;
   Options.Holder_.MaxLease_ = Settings.MaxLease_;
+  Options.Evacuation_.ReturnTime_ = Settings.EvacuationReturn_;
   Options.Holder_.Lease_ = std::min(
       {Options.Holder_.Lease_, Settings.MaxLease_,
        Settings.ResendAfter_ - Options.Holder_.OriginTimeout_ - LeaseMargin});
@@ -103,6 +104,8 @@
                 handle(InstancesRead{std::move(Known)});
               },
           .OnConfigConfirmed_ = [this] { handle(ConfigConfirmed{}); },
+          .OnEvacuations_ =
+              [this](EvacuationsRead Read) { handle(std::move(Read)); },
           .OnCrashes_ = [this](CrashesRead Read) { handle(std::move(Read)); },
           .Clock_ = [this] { return sharedClock(StoreClock_, monotonicNow()); },
           .OnClock_ =
@@ -159,6 +162,7 @@
       Store_(Loop, StoreClient_,
              {.Store_ = Settings.Store_,
               .Self_ = State_.Self_,
+              .FollowsEvacuations_ = Settings.FollowsEvacuations_,
               .Crashes_ = {.Retention_ = State_.Options_.Crashes_.Retention_}},
              storeEvents()),
       Callers_(
@@ -324,6 +328,7 @@
     return;
   }
   logLine("reload", {{"name", Given->Name_}});
+  State_.Options_.Evacuation_.ReturnTime_ = Given->EvacuationReturn_;
   addSeeds(*Given);
 }
 
--- a/transport/marjorambend/src/Transport/FleetDecoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetDecoder.cpp
@@ -144,6 +144,14 @@
   return Given;
 }
 
+static ConfigFreshness toFreshness(const fleetwire::ConfigFreshness &M) {
+  const std::vector<std::string> Evacuated = toStdStrings(M.evacuated());
+  return {.Age_ = {M.age_ms()},
+          .Version_ = M.version(),
+          .EvacuationsVersion_ = M.evacuations_version(),
+          .Evacuated_ = {Evacuated.begin(), Evacuated.end()}};
+}
+
 static RosterNews toRoster(const fleetwire::RosterNews &M) {
   RosterNews Given;
   if (M.instances() == nullptr)
@@ -239,10 +247,8 @@
   }
   case fleetwire::Body::StartOrder:
     return toOrder(*Frame.body_as_StartOrder());
-  case fleetwire::Body::ConfigFreshness: {
-    const auto &M = *Frame.body_as_ConfigFreshness();
-    return ConfigFreshness{{M.age_ms()}, M.version()};
-  }
+  case fleetwire::Body::ConfigFreshness:
+    return toFreshness(*Frame.body_as_ConfigFreshness());
   case fleetwire::Body::RosterNews:
     return toRoster(*Frame.body_as_RosterNews());
   case fleetwire::Body::WorkerPaces:
--- a/transport/marjorambend/src/Transport/FleetEncoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetEncoder.cpp
@@ -153,8 +153,11 @@
                 .Union()};
   }
   FleetBody operator()(const ConfigFreshness &M) const {
+    const auto Evacuated = B_.CreateVectorOfStrings(
+        std::vector<std::string>(M.Evacuated_.begin(), M.Evacuated_.end()));
     return {fleetwire::Body::ConfigFreshness,
-            fleetwire::CreateConfigFreshness(B_, M.Age_.Count_, M.Version_)
+            fleetwire::CreateConfigFreshness(B_, M.Age_.Count_, M.Version_,
+                                             M.EvacuationsVersion_, Evacuated)
                 .Union()};
   }
   FleetBody operator()(const RosterNews &M) const {
--- a/transport/test/FleetCodecTests.cpp
+++ b/transport/test/FleetCodecTests.cpp
@@ -112,6 +112,14 @@
   CHECK_FALSE(roundTrip(PlaceAdopt{}).IsSuspect_);
 }
 
+TEST(FleetMessageCoding, EvacuationsRoundTrip) {
+  const ConfigFreshness Got =
+      roundTrip(ConfigFreshness{{12}, 3, 9'000'000'000, {"north", "south"}});
+  LONGS_EQUAL(12, Got.Age_.Count_);
+  CHECK_EQUAL(9'000'000'000, Got.EvacuationsVersion_);
+  CHECK((Got.Evacuated_ == DataCentreNames{"north", "south"}));
+}
+
 TEST(FleetMessageCoding, RejectsTruncatedFrame) {
   const std::string Whole = encode(sampleNews());
   for (std::size_t Size = sizeof(uint32_t); Size < Whole.size(); ++Size)
