--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -196,6 +196,7 @@
   expireJobs(Ctx);
   expireCancels(Ctx);
   reviewEarlyJobs(Ctx);
+  admitReturningWorkers(Ctx);
   reviewWaitingJobs(Ctx);
 }
 
@@ -207,6 +208,8 @@
       {{"other", Up.Info_.Name_}, {"data_centre", Up.Info_.DataCentre_}});
   sendStatus(Ctx, Up.Info_.Run_);
   sendOwnCrashes(Ctx, Up.Info_.Run_);
+  if (!State.Evacuations_.DataCentres_.empty())
+    sendConfigFreshness(Ctx, Up.Info_.Run_);
   if (!State.Roster_.IsRead_)
     sendMessage(Ctx, Up.Info_.Run_, RosterQuery{});
 }
@@ -244,6 +247,9 @@
   void operator()(const ConfigConfirmed &) const {
     Ctx_.State_.ConfigReadAt_ = Ctx_.Now_;
   }
+  void operator()(const EvacuationsRead &E) const {
+    applyEvacuationsRead(Ctx_, E);
+  }
   void operator()(const WorkersRead &E) const { handleWorkersRead(Ctx_, E); }
   void operator()(const WorkersReadFailed &) const {
     Ctx_.State_.IsListFresh_ = false;
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -3,6 +3,7 @@
 
 #include "marjorambend/src/Fleet/Cancels.h"
 #include "marjorambend/src/Fleet/CrashLedger.h"
+#include "marjorambend/src/Fleet/Evacuation.h"
 #include "marjorambend/src/Fleet/FleetTypes.h"
 
 #include <string>
@@ -148,10 +149,13 @@
   uint64_t Fingerprint_ = 0; ///< Of the whole list.
 };
 
-/// \brief Age of the configuration at the reader of a data centre.
+/// \brief Age of the configuration at the reader of a data centre, and the
+/// evacuated data centres, which are read with it.
 struct ConfigFreshness {
   Milliseconds Age_;     ///< Since the reader last matched the store.
   uint64_t Version_ = 0; ///< In force at the reader.
+  uint64_t EvacuationsVersion_ = 0; ///< 0: the sender has not read them.
+  DataCentreNames Evacuated_;
 };
 
 /// \brief All instances known to the sender.
