Add tests of callers that ignore the limits

Cause: clients that send endless heads, unfinished bodies or small chunks, do not read responses or open many connections exhaust the memory or descriptors of a process. Change: tests that start an instance with 32 MB and 512 descriptors, send one pattern each and check the peak memory, the descriptors and the response to an ordinary request. Load and bounds are fixed.

--- /dev/null
+++ b/transport/test/CallerLoad.h
@@ -0,0 +1,74 @@
+#ifndef MARJORAMBEND_TEST_CALLERLOAD_H
+#define MARJORAMBEND_TEST_CALLERLOAD_H
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace marjorambend::test {
+
+/// \brief Connections that all send the same bytes and stay open.
+struct CallerLoad {
+  std::size_t Connections_ = 0;
+  std::string Text_;
+  std::size_t BytesPerWrite_ = 64U << 10U;
+};
+
+/// \brief A running `marjorambend platform` with the settings of these tests.
+class InstanceProcess {
+public:
+  explicit InstanceProcess(std::size_t MemoryMb, std::size_t MaxFds);
+  InstanceProcess(const InstanceProcess &) = delete;
+  InstanceProcess &operator=(const InstanceProcess &) = delete;
+  ~InstanceProcess();
+
+  bool isRunning() const;
+  /// \brief Peak resident memory (VmHWM) in KB.
+  std::size_t peakKb() const;
+  std::size_t openDescriptors() const;
+  /// \brief Waits until the process uses no more than a little CPU time, since
+  /// it has read what it was sent.
+  void waitUntilRead() const;
+  /// \brief Sends one request within the limits to \p Port; returns the status
+  /// line, or nothing if the connection ends without a response.
+  std::string ask(uint16_t Port, const std::string &Request) const;
+  /// \brief A connected socket, or -1.
+  int connectTo(uint16_t Port) const;
+
+private:
+  uint64_t cpuTicks() const;
+
+  pid_t Process_ = -1;
+  std::string Address_;
+  std::string Folder_;
+};
+
+/// \brief Sends \p Loads at the same time and keeps the connections open until
+/// it is destroyed; does not read responses.
+class OpenLoad {
+public:
+  OpenLoad(const InstanceProcess &Target, uint16_t Port,
+           std::span<const CallerLoad> Loads);
+  OpenLoad(const OpenLoad &) = delete;
+  OpenLoad &operator=(const OpenLoad &) = delete;
+  ~OpenLoad();
+
+private:
+  struct Sender {
+    int Socket_ = -1;
+    const CallerLoad *Load_ = nullptr;
+    std::size_t Sent_ = 0;
+  };
+
+  static bool isDone(const Sender &One);
+  static void sendSome(Sender &One);
+
+  std::vector<Sender> Senders_;
+};
+
+} // namespace marjorambend::test
+
+#endif // MARJORAMBEND_TEST_CALLERLOAD_H
--- /dev/null
+++ b/transport/test/UntrustedCallersTests.cpp
@@ -0,0 +1,152 @@
+#include "TestMain.h"
+
+#include "CallerLoad.h"
+
+using namespace marjorambend::test;
+
+// The load and the bounds are fixed: one instance with 32 MB and 512
+// descriptors. A process without load has a peak of 10 MB.
+static constexpr std::size_t MemoryMb = 32;
+static constexpr std::size_t MaxFds = 512;
+static constexpr uint16_t CallerPort = 8161;
+static constexpr uint16_t ReadinessPort = 8167;
+static constexpr std::size_t EndlessBytes = 4'000'000;
+static constexpr std::size_t BodyBytes = 250'000; // Limit: 262,144.
+static constexpr std::size_t Few = 40;
+static constexpr std::size_t Many = 400;
+
+static std::string repeated(std::string_view Unit, std::size_t Bytes) {
+  std::string Text;
+  while (Text.size() < Bytes)
+    Text += Unit;
+  return Text;
+}
+
+static const std::string Start = "POST /a/b HTTP/1.1\r\nHost: a\r\n";
+static const std::string Chunked = Start + "Transfer-Encoding: chunked\r\n\r\n";
+
+static std::string bodyOf(std::size_t Sent) {
+  return Start + "Content-Length: " + std::to_string(BodyBytes) + "\r\n\r\n[" +
+         repeated("1,", BodyBytes).substr(0, Sent - 1);
+}
+
+static std::string largeChunks() {
+  const std::string Chunk = "ea60\r\n" + std::string(60'000, 'x') + "\r\n";
+  return Chunked + Chunk + Chunk + Chunk + Chunk;
+}
+
+static std::string endlessHead() {
+  return Start + repeated("X-Name: 0123456789abcdef\r\n", EndlessBytes);
+}
+
+static std::string emptyLines() { return repeated("\r\n", EndlessBytes); }
+
+static std::string oneByteChunks() {
+  return Chunked + repeated("1\r\nx\r\n", 150'000);
+}
+
+static std::string trailers() {
+  return Chunked + "1\r\nx\r\n0\r\n" +
+         repeated("X-Name: 0123456789abcdef\r\n", EndlessBytes);
+}
+
+static std::string pipelinedRequests() {
+  return repeated("GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n", EndlessBytes);
+}
+
+TEST_GROUP(UntrustedCallers) {
+  InstanceProcess Instance_{MemoryMb, MaxFds};
+
+  // Memory is not compared with the sanitizers' build, whose allocator keeps
+  // freed blocks.
+  void staysWithinItsMachine(std::vector<CallerLoad> Loads,
+                             uint16_t Port = CallerPort) {
+    const OpenLoad Open(Instance_, Port, Loads);
+    Instance_.waitUntilRead();
+    // The job's path has no identity: only the handler answers 404.
+    const std::string Job = R"({"spec":")" + std::string(4'000, 's') +
+                            R"(","phases":[{"count":1,"cpu":1}]})";
+    const std::string Answer = Instance_.ask(
+        CallerPort, Start + "Content-Length: " + std::to_string(Job.size()) +
+                        "\r\n\r\n" + Job);
+    std::cout << "peak KB " << Instance_.peakKb() << ", descriptors "
+              << Instance_.openDescriptors() << std::endl;
+    CHECK(Instance_.isRunning());
+    STRCMP_EQUAL("HTTP/1.1 404 Not Found", Answer.c_str());
+    CHECK(Instance_.openDescriptors() < MaxFds);
+#ifndef __SANITIZE_ADDRESS__
+    CHECK(Instance_.peakKb() < MemoryMb << 10U);
+#endif
+  }
+};
+
+TEST(UntrustedCallers, EndlessHead) {
+  staysWithinItsMachine({{Few, endlessHead()}});
+}
+
+TEST(UntrustedCallers, HeadOverLimit) {
+  staysWithinItsMachine({{Many, endlessHead().substr(0, 128'000)}});
+}
+
+TEST(UntrustedCallers, EndlessEmptyLines) {
+  staysWithinItsMachine({{Few, emptyLines()}});
+}
+
+TEST(UntrustedCallers, LargeBodiesSentWhole) {
+  staysWithinItsMachine({{Many, bodyOf(BodyBytes)}});
+}
+
+TEST(UntrustedCallers, LargeBodiesInPieces) {
+  staysWithinItsMachine({{Many, bodyOf(BodyBytes), 1'000}});
+}
+
+TEST(UntrustedCallers, BodiesThatStopShort) {
+  staysWithinItsMachine({{Many, bodyOf(BodyBytes - 1)}});
+}
+
+TEST(UntrustedCallers, LargeChunks) {
+  staysWithinItsMachine({{Many, largeChunks()}});
+}
+
+TEST(UntrustedCallers, OneByteChunks) {
+  staysWithinItsMachine({{Few, oneByteChunks()}});
+}
+
+TEST(UntrustedCallers, EndlessChunkSize) {
+  staysWithinItsMachine({{Few, Chunked + std::string(EndlessBytes, '0')}});
+}
+
+TEST(UntrustedCallers, EndlessChunkExtension) {
+  staysWithinItsMachine(
+      {{Few, Chunked + "1;a=" + std::string(EndlessBytes, 'a')}});
+}
+
+TEST(UntrustedCallers, EndlessTrailers) {
+  staysWithinItsMachine({{Few, trailers()}});
+}
+
+TEST(UntrustedCallers, ManyConnections) { staysWithinItsMachine({{700, ""}}); }
+
+TEST(UntrustedCallers, ResponsesNotRead) {
+  staysWithinItsMachine({{Few, pipelinedRequests()}});
+}
+
+TEST(UntrustedCallers, ReadinessListener) {
+  staysWithinItsMachine({{Few, endlessHead()}, {Few, bodyOf(BodyBytes - 1)}},
+                        ReadinessPort);
+}
+
+TEST(UntrustedCallers, AllTogether) {
+  staysWithinItsMachine({{10, endlessHead()},
+                         {20, endlessHead().substr(0, 128'000)},
+                         {10, emptyLines()},
+                         {20, bodyOf(BodyBytes)},
+                         {40, bodyOf(BodyBytes - 1)},
+                         {40, largeChunks()},
+                         {10, oneByteChunks()},
+                         {10, trailers()},
+                         {10, pipelinedRequests()},
+                         {100, ""}});
+}
+
+int main(int Count, char **Arguments) { return runTests(Count, Arguments, 1); }
