Bound what callers may hold

Cause: libevhtp parses a request as it arrives and keeps each header line and each piece of a body in buffers of its own, without a bound over all connections. Change: the server delimits requests itself and passes only complete ones to libevhtp. Headers, chunk sizes, extensions and trailers are bounded by max_header_bytes; chunks are decoded on arrival into one buffer. All connections of a listener share a byte budget (a quarter of limits.memory_mb) and a connection limit (half of limits.max_fds); a pure function chooses what is closed. Reading pauses while enough bytes wait behind a request. A body must arrive at a minimum rate; a response must be read. Counters, log line and gauges show the load.

--- /dev/null
+++ b/daemon/CallerClosures.cpp
@@ -0,0 +1,46 @@
+#include "CallerClosures.h"
+
+#include <utility>
+
+namespace marjorambend {
+
+static constexpr Milliseconds LogInterval{10'000};
+
+Counter counterOf(CloseCause Cause) {
+  switch (Cause) {
+  case CloseCause::HeaderTooLarge:
+    return Counter::CallersClosedHeader;
+  case CloseCause::BodyTooLarge:
+    return Counter::CallersClosedBody;
+  case CloseCause::Malformed:
+    return Counter::CallersClosedMalformed;
+  case CloseCause::TooSlow:
+    return Counter::CallersClosedSlow;
+  case CloseCause::Unread:
+    return Counter::CallersClosedUnread;
+  case CloseCause::TooManyBytes:
+    return Counter::CallersClosedBytes;
+  case CloseCause::TooManyConnections:
+    break;
+  }
+  return Counter::CallersClosedConnections;
+}
+
+std::string_view nameOf(CloseCause Cause) {
+  static constexpr std::array<std::string_view, CloseCauses> Names{
+      "header_too_large", "body_too_large", "malformed",           "too_slow",
+      "answer_unread",    "too_many_bytes", "too_many_connections"};
+  return Names[static_cast<std::size_t>(Cause)];
+}
+
+std::optional<uint64_t> CallerClosures::note(CloseCause Cause,
+                                             Milliseconds Now) {
+  Entry &Known = Entries_[static_cast<std::size_t>(Cause)];
+  ++Known.Count_;
+  if (Known.LoggedAt_ && Now - *Known.LoggedAt_ < LogInterval)
+    return std::nullopt;
+  Known.LoggedAt_ = Now;
+  return std::exchange(Known.Count_, 0);
+}
+
+} // namespace marjorambend
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -20,6 +20,9 @@
 // Allows for a worker's slow clock and for the time that a stop takes.
 static constexpr Milliseconds LeaseMargin{150};
 static constexpr uint16_t NotFound = 404;
+// Budget of the listeners for readiness checks and metrics, relative to that of
+// the listener for callers.
+static constexpr std::size_t CheckShare = 16;
 
 static uint64_t seedFrom(uint64_t Given) {
   if (Given != 0)
@@ -44,11 +47,24 @@
   return State;
 }
 
-static HttpServerOptions listenOn(const Endpoint &At) {
+static HttpServerOptions listenOn(const Endpoint &At,
+                                  const CallerBudget &Budget) {
   return {.Address_ = At.Address_,
           .Port_ = At.Port_,
+          .MaxHeaderBytes_ = RequestLimits{}.MaxHeaderBytes_,
           .MaxBodyBytes_ = RequestLimits{}.MaxBodyBytes_,
-          .RequestTimeout_ = RequestLimits{}.HeaderTimeout_};
+          .RequestTimeout_ = RequestLimits{}.HeaderTimeout_,
+          .Budget_ = Budget,
+          .Overloaded_ = encodeAnswer(
+              {.Outcome_ = JobOutcome::NotRun,
+               .RetryAfter_ = RetryAfterOptions{}.MaxRetryAfter_})};
+}
+
+// Readiness checks and reads of the metrics have no bodies, and come from few
+// clients.
+static CallerBudget checkBudget(const PlatformSettings &Settings) {
+  return budgetOf(Settings.MemoryBytes_ / CheckShare,
+                  Settings.MaxDescriptors_ / CheckShare);
 }
 
 /// \brief Carries out the actions of a step.
@@ -162,15 +178,20 @@
               .Crashes_ = {.Retention_ = State_.Options_.Crashes_.Retention_}},
              storeEvents()),
       Callers_(
-          Loop, listenOn(Settings.Callers_),
+          Loop,
+          listenOn(Settings.Callers_,
+                   budgetOf(Settings.MemoryBytes_, Settings.MaxDescriptors_)),
           [this](HttpRequest &&R) { return onCaller(std::move(R)); },
-          [this](uint64_t Token) { handle(JobAbandoned{Token}); }),
+          [this](uint64_t Token) { handle(JobAbandoned{Token}); },
+          [this](CloseCause Cause) { onCallerClosed(Cause); }),
       Readiness_(
-          Loop, listenOn(Settings.Readiness_),
+          Loop, listenOn(Settings.Readiness_, checkBudget(Settings)),
           [this](HttpRequest &&R) { return onReadiness(R); }, nullptr) {
   if (Options.MetricsPort_ != 0)
     Metrics_ = std::make_unique<HttpServer>(
-        Loop, listenOn({Settings.Address_, Options.MetricsPort_}),
+        Loop,
+        listenOn({Settings.Address_, Options.MetricsPort_},
+                 checkBudget(Settings)),
         [this](HttpRequest &&) { return onMetrics(); }, nullptr);
 }
 
@@ -203,8 +224,8 @@
 }
 
 void FleetDaemon::applyLimits(const RequestLimits &Limits) {
-  Callers_.setLimits(Limits.MaxBodyBytes_, Limits.HeaderTimeout_,
-                     Limits.IdleTimeout_);
+  Callers_.setLimits(Limits.MaxHeaderBytes_, Limits.MaxBodyBytes_,
+                     Limits.HeaderTimeout_, Limits.IdleTimeout_);
 }
 
 void FleetDaemon::handle(FleetEvent Incoming) {
@@ -290,6 +311,7 @@
 }
 
 HttpReply FleetDaemon::onMetrics() const {
+  const HttpServerLoad Load = Callers_.load();
   return {
       .Status_ = 200,
       .Headers_ = {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -304,10 +326,26 @@
           renderHistogramType("session_confirm_milliseconds") +
           renderHistogram(Links_.confirmationTimes(),
                           "session_confirm_milliseconds", "") +
+          renderGauge("caller_bytes_held", Load.Bytes_) +
+          renderGauge("caller_connections_receiving", Load.Receiving_) +
+          renderGauge("caller_connections_answering", Load.Answering_) +
+          renderGauge("caller_connections_idle", Load.Idle_) +
           renderGauge("log_lines_dropped", Log_.dropped()) +
           renderGauge("log_lines_sampled_out", Log_.sampledOut())};
 }
 
+void FleetDaemon::onCallerClosed(CloseCause Cause) {
+  increment(State_.Counters_, counterOf(Cause));
+  const auto Count = Closures_.note(Cause, monotonicNow());
+  if (!Count)
+    return;
+  const HttpServerLoad Load = Callers_.load();
+  logLine("callers_closed", {{"why", std::string(nameOf(Cause))},
+                             {"count", std::to_string(*Count)},
+                             {"held_bytes", std::to_string(Load.Bytes_)},
+                             {"receiving", std::to_string(Load.Receiving_)}});
+}
+
 void FleetDaemon::stop() {
   if (StopAt_)
     return;
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_DAEMON_FLEETDAEMON_H
 #define MARJORAMBEND_DAEMON_FLEETDAEMON_H
 
+#include "CallerClosures.h"
 #include "PlatformSettings.h"
 #include "StoreWatch.h"
 #include "WorkerCalls.h"
@@ -42,6 +43,7 @@
   std::optional<HttpReply> onCaller(HttpRequest &&Request);
   HttpReply onReadiness(const HttpRequest &Request) const;
   HttpReply onMetrics() const;
+  void onCallerClosed(CloseCause Cause);
   std::optional<HttpReply> submit(HttpRequest &&Request, std::string Path,
                                   uint64_t Id);
   void checkStop();
@@ -61,6 +63,7 @@
   platform::WorkerCalls Workers_;
   platform::StoreWatch Store_;
   HttpServer Callers_;
+  CallerClosures Closures_;
   HttpServer Readiness_;
   std::unique_ptr<HttpServer> Metrics_;
   std::deque<FleetEvent> Events_;
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_TRANSPORT_HTTPSERVER_H
 #define MARJORAMBEND_TRANSPORT_HTTPSERVER_H
 
+#include "marjorambend/src/Transport/CallerBudget.h"
 #include "marjorambend/src/Transport/EventLoop.h"
 #include "marjorambend/src/Transport/HttpTypes.h"
 
@@ -23,11 +24,38 @@
 struct HttpServerOptions {
   std::string Address_ = "127.0.0.1";
   uint16_t Port_ = 0;
+  std::size_t MaxHeaderBytes_ = 16U << 10U;
   std::size_t MaxBodyBytes_ = 8U << 20U;
-  Milliseconds RequestTimeout_{5'000}; ///< To receive headers and body.
+  /// To receive the headers, and the body beyond its time at the minimum rate
+  /// (receiveDeadline()).
+  Milliseconds RequestTimeout_{5'000};
+  /// Without a request, or without progress of an unread response.
   Milliseconds IdleTimeout_{60'000};
+  CallerBudget Budget_;
   HttpReply TooSlow_{.Status_ = 408};  ///< Reply if RequestTimeout_ expires.
   HttpReply TooLarge_{.Status_ = 413}; ///< Reply to too large a body.
+  /// Reply to an incomplete request that is closed to stay within the budget.
+  HttpReply Overloaded_{.Status_ = 503, .Headers_ = {{"Retry-After", "1"}}};
+};
+
+/// \brief Why a listener closed a connection before its client did.
+enum class CloseCause : uint8_t {
+  HeaderTooLarge,
+  BodyTooLarge,
+  Malformed,
+  TooSlow,      ///< A request was not complete in time.
+  Unread,       ///< A response was not read in time.
+  TooManyBytes, ///< The budget for bytes was exceeded.
+  TooManyConnections
+};
+inline constexpr std::size_t CloseCauses = 7;
+
+/// \brief What the connections of a listener hold.
+struct HttpServerLoad {
+  std::size_t Bytes_ = 0;
+  std::size_t Receiving_ = 0; ///< A request is partly received.
+  std::size_t Answering_ = 0; ///< A request is open, or its answer unsent.
+  std::size_t Idle_ = 0;
 };
 
 /// \brief A completely received request.
@@ -48,7 +76,9 @@
 /// \brief An HTTP server on the event loop, based on libevhtp.
 ///
 /// Requests that arrive too slowly are answered with 408, those with too large
-/// a body with 413; they do not reach the handler.
+/// a body with 413, and incomplete ones that exceed the budget with 503; they
+/// do not reach the handler. A connection whose head is too large or never ends
+/// is closed. Bytes are passed to libevhtp only as complete requests.
 class HttpServer {
 public:
   /// \brief Returns the reply, or nullopt to reply later through reply().
@@ -56,8 +86,11 @@
   /// \brief Called when the client of an unanswered request disconnects.
   using DisconnectHandler = std::function<void(uint64_t Token)>;
 
+  /// \brief Called for each connection that the listener closes.
+  using CloseHandler = std::function<void(CloseCause Cause)>;
+
   HttpServer(EventLoop &Loop, HttpServerOptions Options, Handler OnRequest,
-             DisconnectHandler OnDisconnect);
+             DisconnectHandler OnDisconnect, CloseHandler OnClose = nullptr);
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
   ~HttpServer();
@@ -72,8 +105,8 @@
   void reply(uint64_t Token, const HttpReply &Reply);
 
   /// \brief Changes the limits; they apply to data received from now on.
-  void setLimits(std::size_t MaxBodyBytes, Milliseconds RequestTimeout,
-                 Milliseconds IdleTimeout);
+  void setLimits(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes,
+                 Milliseconds RequestTimeout, Milliseconds IdleTimeout);
 
   /// \brief Closes each connection after its next answer.
   void closeConnectionsAfterAnswers() { IsClosing_ = true; }
@@ -88,12 +121,17 @@
   /// \brief Whether bytes of an answer have not been passed to the kernel yet.
   bool hasUnsentBytes() const;
 
+  HttpServerLoad load() const;
+
   struct Connection;
 
 private:
   friend struct HttpServerHooks;
 
   void closeExpired();
+  bool makeRoom();
+  void closeExcess(std::size_t NewConnections = 0);
+  void noteClosed(CloseCause Cause) const;
   void serve(evhtp_request *Request);
   uint64_t tokenOf(evhtp_request *Request) const;
 
@@ -101,11 +139,13 @@
   HttpServerOptions Options_;
   Handler OnRequest_;
   DisconnectHandler OnDisconnect_;
+  CloseHandler OnClose_;
   evhtp *Server_ = nullptr;
   std::unordered_map<uint64_t, evhtp_request *> Requests_; ///< Unanswered.
   std::unordered_map<evhtp_request *, uint64_t> Tokens_;
   std::unordered_map<evhtp_connection *, std::unique_ptr<Connection>>
       Connections_;
+  std::size_t HeldBytes_ = 0; ///< Of all connections.
   std::unique_ptr<Timer> ExpiryTimer_;
   uint64_t NextToken_ = 1;
   bool IsClosing_ = false;
