--- a/daemon/CallerClosures.cpp
+++ b/daemon/CallerClosures.cpp
@@ -33,6 +33,13 @@
   return Names[static_cast<std::size_t>(Cause)];
 }
 
+std::string renderLoad(const HttpServerLoad &Load) {
+  return renderGauge("caller_bytes_held", Load.Bytes_) +
+         renderGauge("caller_connections_receiving", Load.Receiving_) +
+         renderGauge("caller_connections_answering", Load.Answering_) +
+         renderGauge("caller_connections_idle", Load.Idle_);
+}
+
 std::optional<uint64_t> CallerClosures::note(CloseCause Cause,
                                              Milliseconds Now) {
   Entry &Known = Entries_[static_cast<std::size_t>(Cause)];
--- a/daemon/CallerClosures.h
+++ b/daemon/CallerClosures.h
@@ -3,8 +3,10 @@
 
 #include <array>
 #include <cstdint>
+#include <marjorambend/Instance>
 #include <marjorambend/Transport>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace marjorambend {
@@ -15,6 +17,9 @@
 /// \brief Name of a cause in the log.
 std::string_view nameOf(CloseCause Cause);
 
+/// \brief Gauges of what the connections of callers hold.
+std::string renderLoad(const HttpServerLoad &Load);
+
 /// \brief Limits log lines about closed connections to one per interval and
 /// cause.
 class CallerClosures {
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -311,7 +311,6 @@
 }
 
 HttpReply FleetDaemon::onMetrics() const {
-  const HttpServerLoad Load = Callers_.load();
   return {
       .Status_ = 200,
       .Headers_ = {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -326,10 +325,7 @@
           renderHistogramType("session_confirm_milliseconds") +
           renderHistogram(Links_.confirmationTimes(),
                           "session_confirm_milliseconds", "") +
-          renderGauge("caller_bytes_held", Load.Bytes_) +
-          renderGauge("caller_connections_receiving", Load.Receiving_) +
-          renderGauge("caller_connections_answering", Load.Answering_) +
-          renderGauge("caller_connections_idle", Load.Idle_) +
+          renderLoad(Callers_.load()) +
           renderGauge("log_lines_dropped", Log_.dropped()) +
           renderGauge("log_lines_sampled_out", Log_.sampledOut())};
 }
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -4,6 +4,7 @@
 #include "marjorambend/src/Transport/CallerBudget.h"
 #include "marjorambend/src/Transport/EventLoop.h"
 #include "marjorambend/src/Transport/HttpTypes.h"
+#include "marjorambend/src/Transport/RequestReceiver.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -38,18 +39,6 @@
   HttpReply Overloaded_{.Status_ = 503, .Headers_ = {{"Retry-After", "1"}}};
 };
 
-/// \brief Why a listener closed a connection before its client did.
-enum class CloseCause : uint8_t {
-  HeaderTooLarge,
-  BodyTooLarge,
-  Malformed,
-  TooSlow,      ///< A request was not complete in time.
-  Unread,       ///< A response was not read in time.
-  TooManyBytes, ///< The budget for bytes was exceeded.
-  TooManyConnections
-};
-inline constexpr std::size_t CloseCauses = 7;
-
 /// \brief What the connections of a listener hold.
 struct HttpServerLoad {
   std::size_t Bytes_ = 0;
@@ -129,6 +118,7 @@
   friend struct HttpServerHooks;
 
   void closeExpired();
+  void charge(const evhtp_connection *Raw, Connection &State);
   bool makeRoom();
   void closeExcess(std::size_t NewConnections = 0);
   void noteClosed(CloseCause Cause) const;
