Test request framing and bound responses of workers and the store

Cause: the reader of requests had no test below the process, and an endless response of a worker or the store had no bound but the timeout of its call. The first test of a client that waits for 100 Continue failed: libevhtp closed the connection; the line is now sent past its buffers. The HTTP client accepts 64 KB of header and 64 MB of body.

--- a/transport/marjorambend/src/Transport/HttpClient.cpp
+++ b/transport/marjorambend/src/Transport/HttpClient.cpp
@@ -14,6 +14,10 @@
 // TCP_USER_TIMEOUT: the kernel closes a connection whose data stays
 // unacknowledged for this long, for example after a firewall lost its state.
 static constexpr unsigned UserTimeoutMs = 5'000;
+// Above the size of any answer of the store or a worker; a longer response
+// fails its call.
+static constexpr ev_ssize_t MaxResponseHeaderBytes = 64 << 10;
+static constexpr ev_ssize_t MaxResponseBodyBytes = 64 << 20;
 
 /// \brief A call in progress.
 struct HttpClient::Pending {
@@ -132,6 +136,8 @@
   evhttp_connection *Connection = evhttp_connection_base_new(
       Loop_.base(), nullptr, To.Address_.c_str(), To.Port_);
   evhttp_connection_set_retries(Connection, 0);
+  evhttp_connection_set_max_headers_size(Connection, MaxResponseHeaderBytes);
+  evhttp_connection_set_max_body_size(Connection, MaxResponseBodyBytes);
   return Connection;
 }
 
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -110,8 +110,10 @@
         Input, {Options.MaxHeaderBytes_, Options.MaxBodyBytes_});
     if (!IsComplete)
       return IsComplete.error();
+    // libevhtp closes a connection that writes without a request.
     if (State.Receiver_.takeContinue())
-      bufferevent_write(Raw->bev, Continue.data(), Continue.size());
+      send(Raw->sock, Continue.data(), Continue.size(),
+           MSG_NOSIGNAL | MSG_DONTWAIT);
     State.IsAnswering_ = *IsComplete;
     if (*IsComplete)
       State.Parse_(Raw->bev, Raw);
--- a/transport/marjorambend/src/Transport/RequestReceiver.cpp
+++ b/transport/marjorambend/src/Transport/RequestReceiver.cpp
@@ -149,13 +149,13 @@
       // Copied, since a buffer per chunk costs many times a small chunk.
       if (Piece->IsPayload_)
         evbuffer_add(Body_.get(), Text.data() + Used, Piece->Bytes_);
+      if (evbuffer_get_length(Body_.get()) > Limits.MaxBodyBytes_)
+        return CloseCause::BodyTooLarge;
       Used += Piece->Bytes_;
     }
     evbuffer_drain(Input, Used);
     if (Chunks_.framingBytes() > Limits.MaxHeaderBytes_)
       return CloseCause::HeaderTooLarge;
-    if (evbuffer_get_length(Body_.get()) > Limits.MaxBodyBytes_)
-      return CloseCause::BodyTooLarge;
   }
   return std::nullopt;
 }
--- a/transport/test/HttpTests.cpp
+++ b/transport/test/HttpTests.cpp
@@ -282,3 +282,46 @@
         std::string(findHeader(Received_->Headers_, "Deadline-Ms")).c_str());
   }
 }
+
+// Guards against a response of the store or a worker that never ends.
+TEST(HttpCalls, ReportsLostForEndlessResponseHeader) {
+  const std::string Header = "X-Name: " + std::string(1'000, 'x') + "\r\n";
+  const int Listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
+  socklen_t Length = sizeof(Address);
+  bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length);
+  listen(Listener, 1);
+  getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+  send({.To_ = {"127.0.0.1", ntohs(Address.sin_port)}});
+  int Socket = -1;
+  std::size_t SentBytes = 0;
+  const Timer Reply(Loop_, Milliseconds{20}, Timer::Mode::Repeat, [&] {
+    if (Socket < 0) {
+      Socket = accept(Listener, nullptr, nullptr);
+      ::send(Socket, "HTTP/1.1 200 OK\r\n", 17, MSG_NOSIGNAL);
+    }
+    for (int Count = 0; Count < 10; ++Count) {
+      ::send(Socket, Header.data(), Header.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      SentBytes += Header.size();
+    }
+  });
+  Loop_.run();
+  close(Socket);
+  close(Listener);
+  CHECK(Answered_->error() == HttpFailure::Lost);
+  CHECK(SentBytes < 1'000'000); // The timeout would allow 2.5 MB.
+}
+
+// Guards against a chunked body that libevhtp sees in pieces, and against a
+// client that waits for 100 Continue in vain.
+TEST(HttpServing, ReadsChunkedBodyOfClientThatWaits) {
+  const RawConnection Raw(Server_.port());
+  Raw.send("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+           "Expect: 100-continue\r\n\r\n");
+  STRCMP_EQUAL("HTTP/1.1 100 Continue\r\n\r\n", runUntilAnswered(Raw).c_str());
+  Raw.send("1\r\nb\r\n3\r\nody\r\n0\r\n\r\n");
+  CHECK(runUntilAnswered(Raw).find("HTTP/1.1 200") == 0);
+  STRCMP_EQUAL("body", Received_->Body_.c_str());
+}
