--- a/transport/marjorambend/src/Transport/HttpConnection.cpp
+++ b/transport/marjorambend/src/Transport/HttpConnection.cpp
@@ -7,8 +7,9 @@
 
 namespace marjorambend {
 
-// Memory of a connection that holds no bytes: libevhtp, its buffers, its state.
-static constexpr std::size_t ConnectionBytes = 4U << 10U;
+// Memory of a connection that holds no bytes: libevhtp, its buffers, its state;
+// 5.6 KB were measured.
+static constexpr std::size_t ConnectionBytes = 6U << 10U;
 
 Milliseconds HttpServer::Connection::expiresAt(const HttpServerOptions &Options,
                                                const evhtp_connection_t *Raw) {
--- a/transport/marjorambend/src/Transport/SessionLinks.cpp
+++ b/transport/marjorambend/src/Transport/SessionLinks.cpp
@@ -20,6 +20,12 @@
 // have arrived that was not read yet.
 static constexpr Milliseconds MaxTickDelay{120};
 
+// Accepted connections that have not sent a hello; they are closed after
+// HandshakeTimeout_.
+static constexpr std::ptrdiff_t MaxStrangers = 256;
+// Largest first frame of a connection; a hello has some hundred bytes.
+static constexpr std::size_t MaxHelloBytes = 4U << 10U;
+
 /// \brief One TCP connection between two instances.
 struct SessionLinks::Connection {
   SessionLinks *Owner_ = nullptr;
@@ -54,6 +60,15 @@
   static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
                        int, void *Argument) {
     auto &Links = *static_cast<SessionLinks *>(Argument);
+    const auto Strangers =
+        std::count_if(Links.Connections_.begin(), Links.Connections_.end(),
+                      [](const auto &Entry) {
+                        return !Entry.second->Run_ && !Entry.second->Dialled_;
+                      });
+    if (Strangers >= MaxStrangers) {
+      evutil_closesocket(Socket);
+      return;
+    }
     tuneSocket(Socket, UserTimeoutMs);
     bufferevent *Buffer = bufferevent_socket_new(Links.Loop_.base(), Socket,
                                                  BEV_OPT_CLOSE_ON_FREE);
@@ -187,7 +202,8 @@
   while (evbuffer_get_length(Input) >= LengthBytes) {
     uint32_t Length = 0;
     evbuffer_copyout(Input, &Length, LengthBytes);
-    const bool IsTooLarge = Length > Options_.MaxFrameBytes_;
+    const bool IsTooLarge =
+        Length > (From.Run_ ? Options_.MaxFrameBytes_ : MaxHelloBytes);
     if (!IsTooLarge && evbuffer_get_length(Input) < LengthBytes + Length)
       return;
     std::optional<SessionFrame> Frame;
