Apply the bounds on callers at reload

Cause: a changed limits.memory_mb or limits.max_fds took effect only at the next start. Change: SIGHUP changes the budget; a value out of range is refused as before and the old one stays in force. A test shrinks the budget: the incomplete request gets 503 with Retry-After, the open one its answer.

--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -359,6 +359,7 @@
   }
   logLine("reload", {{"name", Given->Name_}});
   addSeeds(*Given);
+  Callers_.setBudget(budgetOf(Given->MemoryBytes_, Given->MaxDescriptors_));
 }
 
 void FleetDaemon::addSeeds(const PlatformSettings &From) {
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -33,7 +33,8 @@
   /// \brief Begins a graceful stop.
   void stop();
 
-  /// \brief Reads a changed settings file and adds its seed addresses.
+  /// \brief Reads a changed settings file; its seed addresses are added, and
+  /// its bounds on callers come into force.
   void reload(const std::string &Path);
 
 private:
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -97,6 +97,9 @@
   void setLimits(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes,
                  Milliseconds RequestTimeout, Milliseconds IdleTimeout);
 
+  /// \brief Changes the budget; it applies when bytes are received next.
+  void setBudget(const CallerBudget &Budget) { Options_.Budget_ = Budget; }
+
   /// \brief Closes each connection after its next answer.
   void closeConnectionsAfterAnswers() { IsClosing_ = true; }
 
--- a/transport/test/HttpTests.cpp
+++ b/transport/test/HttpTests.cpp
@@ -325,3 +325,24 @@
   CHECK(runUntilAnswered(Raw).find("HTTP/1.1 200") == 0);
   STRCMP_EQUAL("body", Received_->Body_.c_str());
 }
+
+// Guards against bytes that are held without a bound, and against a refusal of
+// a request that has reached the handler.
+TEST(HttpServing, RefusesOnlyIncompleteRequestsBeyondItsBudget) {
+  IsReplyDeferred_ = true;
+  const RawConnection Open(Server_.port());
+  Open.send("POST /open HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  const RawConnection Raw(Server_.port());
+  Raw.send("POST /held HTTP/1.1\r\nContent-Length: 900\r\n\r\nx");
+  const Timer Shrink(Loop_, Milliseconds{50}, Timer::Mode::Once, [&] {
+    Server_.setBudget({.MaxBytes_ = 1'000});
+    Raw.send("x");
+  });
+  const std::string Refusal = runUntilAnswered(Raw);
+  CHECK(Refusal.find("HTTP/1.1 503") == 0);
+  CHECK(Refusal.find("Retry-After: 1\r\n") != std::string::npos);
+  STRCMP_EQUAL("/open", Received_->Path_.c_str());
+  Server_.reply(Received_->Token_, {.Status_ = 200});
+  CHECK(runUntilAnswered(Open).find("HTTP/1.1 200") == 0);
+  CHECK_FALSE(Disconnected_.has_value());
+}
