--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -366,6 +366,7 @@
   logLine("reload", {{"name", Given->Name_}});
   State_.Options_.Evacuation_.ReturnTime_ = Given->EvacuationReturn_;
   addSeeds(*Given);
+  Callers_.setBudget(budgetOf(Given->MemoryBytes_, Given->MaxDescriptors_));
 }
 
 void FleetDaemon::addSeeds(const PlatformSettings &From) {
