Pass on evacuations that are learnt from another data centre

Cause: an instance told of an evacuation by another data centre did not tell its own; if the reader's calls to the store were not answered then, it allowed starts until its next read (world: 6,804 ms after the request, bound 5,000 ms).

Change: such an instance sends the set to its data centre.

--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -145,7 +145,7 @@
   void operator()(const ListNews &M) const { applyListNews(Ctx_, M); }
   void operator()(const ConfigNews &M) const { applyConfigNews(Ctx_, M); }
   void operator()(const ConfigFreshness &M) const {
-    applyConfigFreshness(Ctx_, M);
+    applyConfigFreshness(Ctx_, From_, M);
   }
   void operator()(const RosterNews &M) const { applyRosterNews(Ctx_, M); }
   void operator()(const RosterQuery &) const { answerRosterQuery(Ctx_, From_); }
--- a/coordination/marjorambend/src/Fleet/FleetStep.h
+++ b/coordination/marjorambend/src/Fleet/FleetStep.h
@@ -92,7 +92,8 @@
 void applyConfig(FleetStepContext &Ctx, ConfigRead Read);
 void applyListNews(FleetStepContext &Ctx, const ListNews &News);
 void applyConfigNews(FleetStepContext &Ctx, const ConfigNews &News);
-void applyConfigFreshness(FleetStepContext &Ctx, const ConfigFreshness &Given);
+void applyConfigFreshness(FleetStepContext &Ctx, Incarnation From,
+                          const ConfigFreshness &Given);
 /// Sends the age of the configuration and the evacuated data centres.
 void sendConfigFreshness(FleetStepContext &Ctx, Incarnation To);
 void applyEvacuationsRead(FleetStepContext &Ctx, const EvacuationsRead &Read);
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -122,11 +122,25 @@
   sendToDataCentre(Ctx, News, Audience::Coordinators);
 }
 
-void applyConfigFreshness(FleetStepContext &Ctx, const ConfigFreshness &Given) {
+// Passes on what an instance of another data centre has sent: the reader here
+// may be unable to read it.
+static void applyEvacuationNews(FleetStepContext &Ctx, Incarnation From,
+                                const ConfigFreshness &Given) {
+  const FleetInstance &State = Ctx.State_;
+  const bool HasChanged = updateEvacuations(Ctx, Given.EvacuationsVersion_,
+                                            Given.Evacuated_, "instance");
+  const auto Sender = State.Members_.find(From);
+  if (HasChanged && Sender != State.Members_.end() &&
+      Sender->second.Info_.DataCentre_ != State.Self_.DataCentre_)
+    sendToDataCentre(Ctx, describeConfig(State, Ctx.Now_), Audience::All);
+}
+
+void applyConfigFreshness(FleetStepContext &Ctx, Incarnation From,
+                          const ConfigFreshness &Given) {
   FleetInstance &State = Ctx.State_;
   const uint64_t Evacuations = Given.EvacuationsVersion_;
   if (Evacuations > 0)
-    updateEvacuations(Ctx, Evacuations, Given.Evacuated_, "instance");
+    applyEvacuationNews(Ctx, From, Given);
   // An instance of an earlier version does not read the evacuations, so that it
   // cannot confirm them.
   const bool KnowsEvacuations =
--- a/coordination/test/Fleet/EvacuationTests.cpp
+++ b/coordination/test/Fleet/EvacuationTests.cpp
@@ -209,6 +209,15 @@
   CHECK(isEvacuated(Reader_.State_.Evacuations_, "dc"));
 }
 
+// Guards against a reader that gets no answers from the store while another
+// instance has learnt of the evacuation from a third data centre.
+TEST(TheNewsOfAnEvacuation, IsPassedOnIfItIsFromAnotherDataCentre) {
+  Reader_.connectPeer(9, "far");
+  deliver(Reader_.handle(MessageReceived{
+      {9}, ConfigFreshness{.EvacuationsVersion_ = 11, .Evacuated_ = {"dc"}}}));
+  CHECK(isKnown());
+}
+
 TEST(TheNewsOfAnEvacuation, ReachesAnInstanceWithANewSession) {
   Reader_.handle(EvacuationsRead{11, {"dc"}});
   deliver(connect(Reader_, Other_));
--- a/coordination/test/Simulation/FleetPromises.cpp
+++ b/coordination/test/Simulation/FleetPromises.cpp
@@ -296,7 +296,10 @@
   for (const uint64_t Seed :
        {// Reader got no answer from the store, and the instance that had read
         // the evacuation did not tell it.
-        1237577295312193019ULL}) {
+        1237577295312193019ULL,
+        // The same, and that instance had learnt of it from another data
+        // centre.
+        3385599006731517800ULL}) {
     STRCMP_EQUAL("", violationsIn(evacuationRun(Seed)).c_str());
   }
 }
