Admit waiting jobs by least cost

Under overload, the placer refuses the job that would itself be late, which favours many small jobs of priority 1 over large ones of priority 2, and lets jobs wait for all of their slack before it refuses them.

Add AdmissionPolicy::LeastCost to OverloadOptions, off by default: weighted shares of the priorities over 2 s, selection after Moore and Hodgson within half of each job's slack, decided in the first review after a job's arrival. While the fleet is not busy, today's rule applies.

The module tests fail if the shares, the size bands or the limit of the queue of a priority above its share are removed.

--- a/coordination/marjorambend/src/Fleet/Placer.cpp
+++ b/coordination/marjorambend/src/Fleet/Placer.cpp
@@ -2,6 +2,7 @@
 /// \brief Keeps the workers and jobs that the placer knows.
 
 #include "marjorambend/src/Fleet/Placement.h"
+#include "marjorambend/src/Fleet/PlacerAdmission.h"
 #include "marjorambend/src/Fleet/PlacerStep.h"
 
 #include <algorithm>
@@ -143,13 +144,12 @@
   Job.Request_.Tasks_ = std::move(Waiting);
   removeFromQueue(Placer, Job);
   const Milliseconds Latest = latestStart(Job);
-  Job.Waiting_ =
-      WaitingJob{.Rank_ = Latest + Ctx.State_.Options_.Placer_.PriorityStep_ *
-                                       Job.Request_.Priority_,
-                 .Key_ = {Origin, Job.Request_.Job_},
-                 .LatestStart_ = Latest,
-                 .MilliCores_ = Job.Request_.Needs_.MilliCores_};
+  Job.Waiting_ = WaitingJob{.Rank_ = queueRank(Ctx, Job),
+                            .Key_ = {Origin, Job.Request_.Job_},
+                            .LatestStart_ = Latest,
+                            .MilliCores_ = Job.Request_.Needs_.MilliCores_};
   Job.IsLate_ = Latest < Ctx.Now_ && !isStarted(Job);
+  beginAdmission(Ctx, Job);
   addToQueue(queueOf(Placer, Job), *Job.Waiting_);
   Placer.NewJobs_.push_back(Job.Waiting_->Key_);
 }
--- a/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
@@ -3,6 +3,7 @@
 /// their jobs.
 
 #include "marjorambend/src/Fleet/Placement.h"
+#include "marjorambend/src/Fleet/PlacerAdmission.h"
 #include "marjorambend/src/Fleet/PlacerStep.h"
 
 #include <algorithm>
@@ -47,14 +48,6 @@
   return Sum;
 }
 
-// Work of the waiting tasks, in thousandths of a core times milliseconds.
-static double waitingWork(const PlacerJob &Job) {
-  const PlaceRequest &Request = Job.Request_;
-  return static_cast<double>(Request.Tasks_.size()) *
-         static_cast<double>(Request.Needs_.MilliCores_) *
-         static_cast<double>(Request.Estimate_.Count_);
-}
-
 static double waitingWork(const PlacerState &Placer) {
   double Work = 0;
   for (const auto &[Key, Job] : Placer.Jobs_)
@@ -72,9 +65,12 @@
   Placer.WaitingWork_ = waitingWork(Placer);
   FleetCapacity &Capacity = Placer.Capacity_;
   Capacity.OpenMilliCores_ = 0;
+  Placer.ReservedMilliCores_ = 0;
   for (const auto &[Id, Worker] : Placer.Workers_) {
-    if (Worker.Held_.IsOpen_)
-      Capacity.OpenMilliCores_ += Worker.Held_.Report_.Capacity_.MilliCores_;
+    if (!Worker.Held_.IsOpen_)
+      continue;
+    Capacity.OpenMilliCores_ += Worker.Held_.Report_.Capacity_.MilliCores_;
+    Placer.ReservedMilliCores_ += Worker.Reserved_.MilliCores_;
   }
   Capacity.ListedMilliCores_ = listedMilliCores(State);
   Capacity.LastSettledAt_ =
@@ -121,6 +117,7 @@
   const RetryAfterOptions &Retry = Ctx.State_.Options_.Placer_.Retry_;
   PlacerState &Placer = Ctx.State_.Placing_;
   PlacerJob &Job = Placer.Jobs_.at(Key);
+  recordRefusal(Ctx, Job);
   const Milliseconds Backlog = backlogTime(
       Placer.WaitingWork_, Placer.Capacity_, isSettling(Ctx), Retry);
   const Milliseconds RetryAfter =
@@ -220,8 +217,10 @@
     Job.Suspects_.erase(Tasks.front());
     Tasks.erase(Tasks.begin());
   }
-  if (!Answer.Tasks_.empty())
-    sendMessage(Ctx, Job.Origin_, std::move(Answer));
+  if (Answer.Tasks_.empty())
+    return;
+  sendMessage(Ctx, Job.Origin_, std::move(Answer));
+  recordPlacement(Ctx, Job);
 }
 
 // Refuses a job that would end after its caller has left.
@@ -285,15 +284,25 @@
 
 static bool refusesLateJobs(const FleetStepContext &Ctx) {
   const PlacerState &Placer = Ctx.State_.Placing_;
-  return refusesLateJobs(Placer.InTime_.Size_, Placer.Capacity_,
+  return refusesLateJobs(Placer.InTime_.Size_ + Placer.Unreviewed_.Size_,
+                         Placer.Capacity_,
                          Ctx.State_.Options_.Placer_.Overload_, Ctx.Now_);
 }
 
+// Jobs that await a review would otherwise take the resources of admitted ones.
+// While workers are being claimed, there are no reviews.
+static bool placesUnreviewedJobs(const FleetStepContext &Ctx) {
+  return Ctx.State_.Placing_.InTime_.Size_ == 0 || !isFleetBusy(Ctx) ||
+         isSettling(Ctx);
+}
+
 static void placeAllJobs(FleetStepContext &Ctx, uint32_t MaxInVain) {
   PlacerState &Placer = Ctx.State_.Placing_;
   Placer.NewJobs_.clear();
   UnplaceableRequirements Unplaceable;
   placeQueue(Ctx, Placer.InTime_, MaxInVain, Unplaceable);
+  if (placesUnreviewedJobs(Ctx))
+    placeQueue(Ctx, Placer.Unreviewed_, MaxInVain, Unplaceable);
   if (!refusesLateJobs(Ctx))
     placeQueue(Ctx, Placer.Late_, MaxInVain, Unplaceable);
 }
@@ -315,7 +324,9 @@
     const auto Job = Placer.Jobs_.find(Key);
     if (Job == Placer.Jobs_.end() || !Job->second.Waiting_)
       continue;
-    if (!refuseIfOutOfTime(Ctx, Key))
+    if (refuseIfOutOfTime(Ctx, Key))
+      continue;
+    if (Job->second.IsAdmitted_ || placesUnreviewedJobs(Ctx))
       tryJob(Ctx, Key, Unplaceable);
   }
 }
@@ -326,7 +337,7 @@
     if (!Job.Waiting_ || Job.IsLate_ || isStarted(Job) ||
         latestStart(Job) >= Ctx.Now_)
       continue;
-    removeFromQueue(Placer.InTime_, *Job.Waiting_);
+    removeFromQueue(queueOf(Placer, Job), *Job.Waiting_);
     Job.IsLate_ = true;
     addToQueue(Placer.Late_, *Job.Waiting_);
   }
@@ -352,12 +363,24 @@
     refuseJob(Ctx, Key, "the work ahead takes too long");
 }
 
+// The jobs that are admitted are placed at the end of the step. While the fleet
+// is not busy, those that wait for certain workers are refused when late.
+static void refuseByLeastCost(FleetStepContext &Ctx) {
+  if (isSettling(Ctx))
+    return;
+  for (const AdmissionRefusal &One : admitWaitingJobs(Ctx))
+    refuseJob(Ctx, One.Key_, One.Why_);
+}
+
 void reviewWaitingJobs(FleetStepContext &Ctx) {
   PlacerState &Placer = Ctx.State_.Placing_;
   summarizeFleet(Ctx);
   moveLateJobs(Ctx);
   placeAllJobs(Ctx, UINT32_MAX);
-  refuseForecastLateJobs(Ctx);
+  if (admitsByLeastCost(Ctx) && isFleetBusy(Ctx))
+    refuseByLeastCost(Ctx);
+  else
+    refuseForecastLateJobs(Ctx);
   std::vector<PlacerJobKey> Waiting;
   for (const auto &[Key, Job] : Placer.Jobs_) {
     if (Job.Waiting_)
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -62,6 +62,8 @@
   std::set<uint32_t> Suspects_;       ///< Waiting tasks that may crash workers.
   std::optional<WaitingJob> Waiting_; ///< Its entry in a queue.
   bool IsLate_ = false;               ///< The entry is in PlacerState::Late_.
+  JobSize Size_;            ///< On arrival; set by AdmissionPolicy::LeastCost.
+  bool IsAdmitted_ = false; ///< Otherwise in PlacerState::Unreviewed_, or late.
 };
 
 /// \brief Workers and waiting tasks of the whole fleet.
@@ -73,10 +75,16 @@
   std::map<PlacerJobKey, PlacerJob> Jobs_;
   /// Waiting jobs that can meet their objective or have started.
   WaitingQueue InTime_;
+  /// Jobs in time that have arrived since the last review, which admits or
+  /// refuses them; only with AdmissionPolicy::LeastCost.
+  WaitingQueue Unreviewed_;
+  FairShares Shares_;
+  Milliseconds SharesLoggedAt_;
   WaitingQueue Late_; ///< The other waiting jobs; moved there by ticks.
   WorkerIndex OpenWorkers_;
   double MedianSlowness_ = 1.0; ///< Of the open workers.
   FleetCapacity Capacity_;
+  int64_t ReservedMilliCores_ = 0; ///< On open workers.
   /// Of all waiting tasks, in thousandths of a core times milliseconds.
   double WaitingWork_ = 0;
   Milliseconds SummarizedAt_; ///< When these were computed.
@@ -86,7 +94,7 @@
 
 /// \brief Number of jobs with waiting tasks.
 inline std::size_t countWaitingJobs(const PlacerState &Placer) {
-  return Placer.InTime_.Size_ + Placer.Late_.Size_;
+  return Placer.InTime_.Size_ + Placer.Unreviewed_.Size_ + Placer.Late_.Size_;
 }
 
 } // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/PlacerStep.h
+++ b/coordination/marjorambend/src/Fleet/PlacerStep.h
@@ -13,7 +13,18 @@
 
 /// \brief The queue that the job's entry belongs to.
 inline WaitingQueue &queueOf(PlacerState &Placer, const PlacerJob &Job) {
-  return Job.IsLate_ ? Placer.Late_ : Placer.InTime_;
+  if (Job.IsLate_)
+    return Placer.Late_;
+  return Job.IsAdmitted_ ? Placer.InTime_ : Placer.Unreviewed_;
+}
+
+/// \brief Work of the waiting tasks, in thousandths of a core times
+/// milliseconds.
+inline double waitingWork(const PlacerJob &Job) {
+  const PlaceRequest &Request = Job.Request_;
+  return static_cast<double>(Request.Tasks_.size()) *
+         static_cast<double>(Request.Needs_.MilliCores_) *
+         static_cast<double>(Request.Estimate_.Count_);
 }
 
 /// \brief What a task reserves on a worker: its needs, or all that is free for
--- a/coordination/marjorambend/src/Scheduling/Overload.h
+++ b/coordination/marjorambend/src/Scheduling/Overload.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_SCHEDULING_OVERLOAD_H
 #define MARJORAMBEND_SCHEDULING_OVERLOAD_H
 
+#include "marjorambend/src/Scheduling/LeastCost.h"
 #include "marjorambend/src/Scheduling/WaitingQueue.h"
 #include "marjorambend/src/Support/Milliseconds.h"
 
@@ -19,8 +20,16 @@
   Milliseconds LastSettledAt_;
 };
 
+/// \brief How the jobs to delay and to refuse are chosen.
+enum class AdmissionPolicy : uint8_t {
+  LatestStart, ///< By latest start and priority.
+  LeastCost    ///< \sa reviewAdmission
+};
+
 /// \brief Options for the refusal of waiting jobs.
 struct OverloadOptions {
+  AdmissionPolicy Policy_ = AdmissionPolicy::LatestStart;
+  LeastCostOptions LeastCost_;
   /// Whether a job that can only be late is refused while jobs that can be in
   /// time wait; off for comparison.
   bool RefusesLate_ = true;
--- a/coordination/test/Simulation/FleetLoad.cpp
+++ b/coordination/test/Simulation/FleetLoad.cpp
@@ -27,18 +27,21 @@
   std::printf("\n");
 }
 
-// Usage: fleet_load [SEED [LENGTH_MS]]
+// Usage: fleet_load [SEED [LENGTH_MS [latest_start|least_cost]]]
 int main(int Count, char **Arguments) {
   const uint64_t Seed =
       Count > 1 ? std::strtoull(Arguments[1], nullptr, 10) : 1;
   const int64_t Duration =
       Count > 2 ? std::strtoll(Arguments[2], nullptr, 10) : 15'000;
-  for (const double Load : {0.65, 1.1, 1.43, 1.8}) {
-    const FleetSimulationOptions Options{
-        .Seed_ = Seed,
-        .Kinds_ = agenciaKinds(Load),
-        .LoadUntil_ = {3'000 + Duration},
-        .Duration_ = {3'000 + Duration + 20'000}};
+  const auto Policy = Count > 3 && std::string(Arguments[3]) == "least_cost"
+                          ? AdmissionPolicy::LeastCost
+                          : AdmissionPolicy::LatestStart;
+  for (const double Load : {0.65, 1.1, 1.43, 1.8, 2.6, 4.0}) {
+    FleetSimulationOptions Options{.Seed_ = Seed,
+                                   .Kinds_ = agenciaKinds(Load),
+                                   .LoadUntil_ = {3'000 + Duration},
+                                   .Duration_ = {3'000 + Duration + 20'000}};
+    Options.Placer_.Overload_.Policy_ = Policy;
     printResult("steady", Load, FleetSimulation(Options).run());
   }
   FleetSimulationOptions Burst{.Seed_ = Seed,
@@ -46,5 +49,6 @@
                                .Peaks_ = {{{6'000}, {10'000}, 2.0, "certpeso"}},
                                .LoadUntil_ = {3'000 + Duration},
                                .Duration_ = {3'000 + Duration + 20'000}};
+  Burst.Placer_.Overload_.Policy_ = Policy;
   printResult("burst", 0.9, FleetSimulation(Burst).run());
 }
