Select the admission policy by a flag, and show the shares

At 1.1 times the load, classes yielded to others that lacked almost nothing, and jobs were refused although cores were free on slow workers. A class now yields to shares only while another lacks more than 5% of its own, and the policy applies from 0.8 of the reserved cores on instead of 0.6.

--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -40,6 +40,27 @@
   return renderGauge(Name, static_cast<uint64_t>(Age.Count_));
 }
 
+// Renders the work of each priority that was demanded, admitted and refused, in
+// seconds of a core.
+static std::string renderAdmission(const FairShares &Shares) {
+  static constexpr double MilliCoreMsPerCoreSecond = 1e6;
+  const auto Line = [](std::size_t Class, const char *Result, double Work) {
+    return "marjorambend_admission_core_seconds_total{" +
+           renderLabel("priority", std::to_string(Class)) + ',' +
+           renderLabel("result", Result) + "} " +
+           std::to_string(
+               static_cast<uint64_t>(Work / MilliCoreMsPerCoreSecond)) +
+           '\n';
+  };
+  std::string Text =
+      "# TYPE marjorambend_admission_core_seconds_total counter\n";
+  for (std::size_t Class = 0; Class < PriorityClassCount; ++Class)
+    Text += Line(Class, "demanded", Shares.Totals_[Class].Demanded_) +
+            Line(Class, "admitted", Shares.Totals_[Class].Admitted_) +
+            Line(Class, "refused", Shares.Totals_[Class].Refused_);
+  return Text;
+}
+
 } // namespace internal
 
 bool isDeclaredLogLine(const LogDecision &Line) {
@@ -70,6 +91,8 @@
                               State.ConfigNewsAt_, State.ConfigReadAt_, Now);
   Text += renderGauge("is_placer", State.Placer_ == State.Self_.Run_);
   Text += renderGauge("ready", isReady(State) ? 1 : 0);
+  if (State.Options_.Placer_.Overload_.Policy_ == AdmissionPolicy::LeastCost)
+    Text += internal::renderAdmission(State.Placing_.Shares_);
   Text += renderHistogramType("answer_milliseconds");
   for (std::size_t Index = 0; Index < JobOutcomeCount; ++Index)
     Text += renderHistogram(State.Times_.Answers_[Index], "answer_milliseconds",
--- a/coordination/marjorambend/src/Fleet/PlacerAdmission.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerAdmission.cpp
@@ -5,6 +5,7 @@
 #include "marjorambend/src/Fleet/PlacerStep.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 namespace marjorambend::internal {
@@ -103,8 +104,7 @@
   std::string Text;
   for (const ClassWork &Class : Shares.Window_) {
     const double Part = Sum > 0 ? std::max(0.0, Class.*Amount) / Sum : 0;
-    Text += (Text.empty() ? "" : "/") +
-            std::to_string(static_cast<int>(Part * 100 + 0.5));
+    Text += (Text.empty() ? "" : "/") + std::to_string(std::lround(Part * 100));
   }
   return Text;
 }
--- a/coordination/marjorambend/src/Scheduling/LeastCost.cpp
+++ b/coordination/marjorambend/src/Scheduling/LeastCost.cpp
@@ -101,12 +101,22 @@
     }
   }
 
+  // Whether a class has clearly less than its share.
+  bool isAnyShort() const {
+    for (std::size_t Class = 0; Class < PriorityClassCount; ++Class) {
+      if (Classes_[Class].Admitted_ <
+          Entitled_[Class] * (1.0 - Options_.ShareTolerance_))
+        return true;
+    }
+    return false;
+  }
+
   // Jobs with much slack would otherwise fill the capacity in advance and leave
   // none for those with little.
   void yieldToOthers(std::size_t Class) {
     const double MaxQueue =
         static_cast<double>(Options_.MaxQueueAboveShare_.Count_) * MilliCores_;
-    while (New_.hasAny(Class) && QueuedWork_ > MaxQueue &&
+    while (New_.hasAny(Class) && QueuedWork_ > MaxQueue && isAnyShort() &&
            Classes_[Class].Admitted_ > Entitled_[Class] &&
            !isProtected(Class, cheapestBand(New_, Class)))
       refuse(takeCheapest(New_, Class), "its priority has had its share");
--- a/coordination/marjorambend/src/Scheduling/LeastCost.h
+++ b/coordination/marjorambend/src/Scheduling/LeastCost.h
@@ -20,9 +20,11 @@
   /// up to this queue in time of the capacity. A longer one delays priority 0,
   /// which has about 50 ms to start.
   Milliseconds MaxQueueAboveShare_{40};
+  /// Part of its share that a class may lack before others yield to it.
+  double ShareTolerance_ = 0.05;
   /// Share of the open cores that must be reserved for the policy to apply.
-  /// Whole tasks of half a worker may leave a third of the cores unused.
-  double BusyShare_ = 0.6;
+  /// Tasks of half a worker leave about a tenth of the cores unused.
+  double BusyShare_ = 0.8;
   FairShareOptions Shares_;
 };
 
--- a/coordination/test/Simulation/FleetWorstLoad.cpp
+++ b/coordination/test/Simulation/FleetWorstLoad.cpp
@@ -98,3 +98,25 @@
     CHECK(static_cast<double>(Unserved) < 0.005 * static_cast<double>(Asked));
   }
 }
+
+// The bound on late responses is the required one.
+TEST(WorstLoad_, AdmittedByLeastCostEarnsMoreThanByLatestStart) {
+  for (const auto &[Load, Seed] : std::vector<std::pair<double, uint64_t>>{
+           {1.8, 1}, {1.8, 2}, {1.8, 3}, {2.6, 1}, {2.6, 2}, {2.6, 3}}) {
+    FleetSimulationOptions Options{.Seed_ = Seed,
+                                   .Kinds_ = agenciaKinds(Load),
+                                   .LoadUntil_ = {15'000},
+                                   .Duration_ = {35'000}};
+    Options.Placer_.Overload_.Policy_ = AdmissionPolicy::LeastCost;
+    const FleetSimulationResult Result = FleetSimulation(Options).run();
+    CHECK(Result.Violations_.empty());
+    CHECK(Result.WorthShare_ > worthShareAt(Load, Seed, leaveUnchanged));
+    uint64_t InTime = 0;
+    uint64_t Late = 0;
+    for (const auto &[Name, Kind] : Result.Kinds_) {
+      InTime += Kind.InTime_;
+      Late += Kind.Late_;
+    }
+    CHECK(10 * Late < InTime + Late);
+  }
+}
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -29,8 +29,9 @@
 }
 
 static FleetInstance makeInstance(const PlatformSettings &Settings,
-                                  uint64_t Seed) {
+                                  const FleetDaemonOptions &Given) {
   FleetOptions Options;
+  Options.Placer_.Overload_.Policy_ = Given.Policy_;
   Options.Name_ = Settings.Name_;
   Options.DataCentre_ = Settings.DataCentre_;
   Options.CpuShare_ = Settings.CpuShare_;
@@ -38,7 +39,8 @@
   Options.Holder_.Lease_ = std::min(
       {Options.Holder_.Lease_, Settings.MaxLease_,
        Settings.ResendAfter_ - Options.Holder_.OriginTimeout_ - LeaseMargin});
-  FleetInstance State = makeFleetInstance(std::move(Options), seedFrom(Seed));
+  FleetInstance State =
+      makeFleetInstance(std::move(Options), seedFrom(Given.Seed_));
   State.Self_.Address_ = Settings.Links_.Address_;
   State.Self_.Port_ = Settings.Links_.Port_;
   return State;
@@ -133,8 +135,7 @@
 
 FleetDaemon::FleetDaemon(EventLoop &Loop, const PlatformSettings &Settings,
                          const FleetDaemonOptions &Options)
-    : Loop_(Loop), Settings_(Settings),
-      State_(makeInstance(Settings, Options.Seed_)),
+    : Loop_(Loop), Settings_(Settings), State_(makeInstance(Settings, Options)),
       Log_(Loop, {.Instance_ = Settings.Name_}),
       WorkerClient_(Loop, MaxIdleConnection),
       StoreClient_(Loop, MaxIdleConnection),
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -17,6 +17,7 @@
 struct FleetDaemonOptions {
   uint16_t MetricsPort_ = 0; ///< On the machine's address; 0: none.
   uint64_t Seed_ = 0;        ///< 0: from std::random_device.
+  AdmissionPolicy Policy_ = AdmissionPolicy::LatestStart;
 };
 
 /// \brief The daemon on the users' platform: connects the decisions of
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -46,7 +46,13 @@
 // on the users' platform.
 static constexpr const char *SettingsFileVariable = "MARJORAMBEND_NODE_FILE";
 
-static int runOnPlatform(const std::string &Path) {
+static int reportProblems(const SettingsError &Error) {
+  for (const std::string &Problem : Error.Problems_)
+    std::cerr << "marjorambend: " << Problem << '\n';
+  return ExitWrongSettings;
+}
+
+static int runOnPlatform(const std::string &Path, const SettingsT &Flags) {
   const auto Settings = platform::readSettingsFile(Path);
   if (!Settings) {
     std::cerr << "marjorambend: " << Settings.error().What_ << '\n';
@@ -54,7 +60,11 @@
   }
   signal(SIGPIPE, SIG_IGN);
   EventLoop Loop;
-  FleetDaemon Instance(Loop, *Settings, {.MetricsPort_ = MetricsPort});
+  FleetDaemon Instance(Loop, *Settings,
+                       {.MetricsPort_ = MetricsPort,
+                        .Policy_ = Flags.admission_policy == "least_cost"
+                                       ? AdmissionPolicy::LeastCost
+                                       : AdmissionPolicy::LatestStart});
   const SignalWatch Terminate(Loop, SIGTERM, [&] { Instance.stop(); });
   const SignalWatch Interrupt(Loop, SIGINT, [&] { Instance.stop(); });
   const SignalWatch Hangup(Loop, SIGHUP, [&] { Instance.reload(Path); });
@@ -69,14 +79,14 @@
 int main(int Count, char **Arguments) {
   const char *File = std::getenv(SettingsFileVariable);
   if (File != nullptr && Count > 1 &&
-      std::string_view(Arguments[1]) == "platform")
-    return runOnPlatform(File);
-  const auto Line = readSettings(Count, Arguments);
-  if (!Line) {
-    for (const std::string &Problem : Line.error().Problems_)
-      std::cerr << "marjorambend: " << Problem << '\n';
-    return ExitWrongSettings;
+      std::string_view(Arguments[1]) == "platform") {
+    const auto Flags =
+        readPlatformFlags(Count, Arguments, {"admission_policy"});
+    return Flags ? runOnPlatform(File, *Flags) : reportProblems(Flags.error());
   }
+  const auto Line = readSettings(Count, Arguments);
+  if (!Line)
+    return reportProblems(Line.error());
   if (Line->IsHelp_) {
     std::cout << settingsHelp();
     return 0;
--- a/transport/marjorambend/src/Transport/SettingsReader.cpp
+++ b/transport/marjorambend/src/Transport/SettingsReader.cpp
@@ -187,6 +187,30 @@
   return Line;
 }
 
+tl::expected<SettingsT, SettingsError>
+readPlatformFlags(int Count, char **Arguments,
+                  const std::vector<std::string> &Allowed) {
+  SettingsError Error;
+  CommandLine Line;
+  const std::vector<std::string> Given(Arguments + 2, Arguments + Count);
+  for (std::size_t Index = 0; Index < Given.size(); ++Index) {
+    const std::string &Flag = Given[Index];
+    const bool IsAllowed = std::any_of(
+        Allowed.begin(), Allowed.end(), [&Flag](const std::string &Name) {
+          return Flag == "--" + Name || Flag.rfind("--" + Name + "=", 0) == 0;
+        });
+    if (IsAllowed)
+      internal::readArgument(Given, Index, Line, Error.Problems_);
+    else
+      Error.Problems_.push_back(Flag + ": there is no such setting for "
+                                       "`marjorambend platform`");
+  }
+  SettingsT Settings = internal::collectFlags(Error.Problems_);
+  if (!Error.Problems_.empty())
+    return tl::unexpected(Error);
+  return Settings;
+}
+
 std::string settingsHelp() {
   std::ostringstream Text;
   Text << "marjorambend - the daemon of an entry instance\n\n"
--- a/transport/marjorambend/src/Transport/SettingsReader.h
+++ b/transport/marjorambend/src/Transport/SettingsReader.h
@@ -29,6 +29,14 @@
 tl::expected<CommandLine, SettingsError> readSettings(int Count,
                                                       char **Arguments);
 
+/// \brief Reads the flags after `marjorambend platform`.
+///
+/// Only the settings named in \p Allowed are accepted, and no environment
+/// variables: the other settings are in the platform's settings file.
+tl::expected<SettingsT, SettingsError>
+readPlatformFlags(int Count, char **Arguments,
+                  const std::vector<std::string> &Allowed);
+
 /// \brief The text of --help.
 std::string settingsHelp();
 
--- a/transport/test/SettingsTests.cpp
+++ b/transport/test/SettingsTests.cpp
@@ -63,3 +63,27 @@
   CHECK(read({"--help"})->IsHelp_);
   CHECK(settingsHelp().find("--identity_window_ms") != std::string::npos);
 }
+
+// `marjorambend platform` has its settings from the platform's file; a flag
+// that it would ignore, or an unknown policy, must not go unnoticed.
+TEST(SettingsReading, AfterPlatformAreOnlyTheAllowedFlags) {
+  const auto Read = [](std::vector<std::string> Given) {
+    Given.insert(Given.begin(), {"marjorambend", "platform"});
+    std::vector<char *> Arguments;
+    for (std::string &One : Given)
+      Arguments.push_back(One.data());
+    return readPlatformFlags(static_cast<int>(Arguments.size()),
+                             Arguments.data(), {"admission_policy"});
+  };
+  STRCMP_EQUAL(
+      "least_cost",
+      Read({"--admission_policy=least_cost"})->admission_policy.c_str());
+  const auto Unknown = Read({"--admission_policy", "cheapest"});
+  STRCMP_EQUAL("--admission_policy: \"cheapest\" is not one of "
+               "latest_start,least_cost",
+               Unknown.error().Problems_.front().c_str());
+  CHECK_FALSE(Read({"--caller_port=8090"}));
+  STRCMP_EQUAL(
+      "latest_start",
+      Read({"--admission_policy=latest_start"})->admission_policy.c_str());
+}
