Guard the placement of unreviewed jobs by tests that fail without it

Two tests of the placer passed when unreviewed jobs were placed before their review, and when the check of a busy fleet was removed. Replace them by cases that fail with either change: a wide admitted job beside a new narrow one, and a started job that waits for a second worker. The code is unchanged.

--- a/coordination/test/Fleet/PlacerAdmissionTests.cpp
+++ b/coordination/test/Fleet/PlacerAdmissionTests.cpp
@@ -59,27 +59,29 @@
                   "\"refused\"} 162\n") != std::string::npos);
 }
 
-// A new job with less slack would otherwise take each core that becomes free.
-TEST(APlacerThatAdmitsByLeastCost, PlacesAnAdmittedJobBeforeAnUnreviewedOne) {
+// A new job that needs less would otherwise take each core that becomes free,
+// and the admitted one would start late.
+TEST(APlacerThatAdmitsByLeastCost, KeepsFreeCoresFromUnreviewedJobs) {
   for (InstanceFixture *Instance : {&Instance_, &Today_}) {
     fill(*Instance);
-    Instance->handle(job(3, 1'000));
+    JobSubmission Wide = job(3, 1'000);
+    Wide.Needs_.MilliCores_ = 40'000;
+    Instance->handle(Wide);
     Instance->advance(20);
     Instance->handle(job(4, 100));
-    const auto Starts = actionsOf<StartRun>(
-        Instance->listRuns({{2, 0, 1}}, {{1, {1, 0, 1}, RunEnd::Done}}));
-    LONGS_EQUAL(1, Starts.size());
-    LONGS_EQUAL(Instance == &Instance_ ? 3 : 4, Starts.front().Run_.Job_);
+    const FleetActions Actions =
+        Instance->listRuns({{2, 0, 1}}, {{1, {1, 0, 1}, RunEnd::Done}});
+    expectCount<StartRun>(Instance == &Instance_ ? 0 : 1, Actions);
   }
 }
 
 // While cores are free, jobs that wait for something else delay no others.
 TEST(APlacerThatAdmitsByLeastCost, DoesNotLetAJobWaitWhileTheFleetIsNotBusy) {
   Instance_.openWorker();
-  JobSubmission Labelled = job(1, 1'000);
-  Labelled.Label_ = "missing";
-  Instance_.handle(Labelled);
+  JobSubmission Spread = job(1, 1'000);
+  Spread.Tasks_ = 2;
+  Spread.MaxPerWorker_ = 1;
+  Instance_.handle(Spread);
   Instance_.advance(100);
-  const auto Starts = actionsOf<StartRun>(Instance_.handle(job(2, 1'000)));
-  LONGS_EQUAL(1, Starts.size());
+  expectCount<StartRun>(1, Instance_.handle(job(2, 1'000)));
 }
