Promise refused callers capacity at their return

Cause: each refusal drew its Retry-After from the backlog of the moment, so that callers refused first could return last, and most of them together.

Change: with admission_policy LeastCost, the placer keeps a ledger of the capacity that it has promised, by priority class. Those of a class that are refused first return first; promises do not overlap; returns beyond 1,500 ms may use 0.45 of the capacity in addition, as the greatest retry time leaves no room to promise all. A new placer uses the previous rule for 5 s. Two counters and a histogram of the error are exported.

--- a/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
+++ b/coordination/marjorambend/src/Fleet/FleetMetrics.cpp
@@ -89,6 +89,9 @@
           renderHistogram(State.Times_.Starts_, "start_milliseconds", "");
   Text += renderHistogramType("run_milliseconds") +
           renderHistogram(State.Times_.Runs_, "run_milliseconds", "");
+  Text += renderHistogramType("return_error_milliseconds") +
+          renderHistogram(State.Placing_.Returns_.Errors_,
+                          "return_error_milliseconds", "");
   return Text;
 }
 
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -3,6 +3,7 @@
 
 #include "marjorambend/src/Fleet/CrashLedger.h"
 #include "marjorambend/src/Scheduling/Overload.h"
+#include "marjorambend/src/Scheduling/ReturnTimes.h"
 #include "marjorambend/src/Support/Milliseconds.h"
 
 #include <cstdint>
@@ -93,6 +94,7 @@
   Milliseconds PriorityStep_{100};
   OverloadOptions Overload_;
   RetryAfterOptions Retry_;
+  ReturnTimesOptions Returns_;
   /// Interval at which the fleet's capacity and median slowness are computed.
   Milliseconds SummaryInterval_{100};
 };
--- a/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
@@ -118,14 +118,10 @@
 
 static void refuseJob(FleetStepContext &Ctx, const PlacerJobKey &Key,
                       std::string_view Why, Milliseconds MinRetryAfter = {}) {
-  const RetryAfterOptions &Retry = Ctx.State_.Options_.Placer_.Retry_;
   PlacerState &Placer = Ctx.State_.Placing_;
   PlacerJob &Job = Placer.Jobs_.at(Key);
-  const Milliseconds Backlog = backlogTime(
-      Placer.WaitingWork_, Placer.Capacity_, isSettling(Ctx), Retry);
   const Milliseconds RetryAfter =
-      std::max(MinRetryAfter,
-               retryAfter(Backlog, uniformUnit(Ctx.State_.Generator_), Retry));
+      returnDelay(Ctx, Job, waitingWork(Job), MinRetryAfter);
   log(Ctx, "place_refused", Job.Request_.Id_,
       {{"why", std::string(Why)},
        {"waited_ms", toString(Ctx.Now_ - Job.ArrivedAt_)},
@@ -355,6 +351,7 @@
 void reviewWaitingJobs(FleetStepContext &Ctx) {
   PlacerState &Placer = Ctx.State_.Placing_;
   summarizeFleet(Ctx);
+  reviewReturns(Ctx);
   moveLateJobs(Ctx);
   placeAllJobs(Ctx, UINT32_MAX);
   refuseForecastLateJobs(Ctx);
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -3,6 +3,7 @@
 
 #include "marjorambend/src/Fleet/FleetMessages.h"
 #include "marjorambend/src/Scheduling/Overload.h"
+#include "marjorambend/src/Scheduling/ReturnTimes.h"
 #include "marjorambend/src/Scheduling/WaitingQueue.h"
 
 #include <cstdint>
@@ -82,6 +83,7 @@
   Milliseconds SummarizedAt_; ///< When these were computed.
   bool IsDirty_ = false;      ///< Any waiting task may have become placeable.
   std::vector<PlacerJobKey> NewJobs_; ///< Not tried since their request.
+  ReturnLedger Returns_;              ///< Used with AdmissionPolicy::LeastCost.
 };
 
 /// \brief Number of jobs with waiting tasks.
--- a/coordination/marjorambend/src/Fleet/PlacerStep.h
+++ b/coordination/marjorambend/src/Fleet/PlacerStep.h
@@ -29,6 +29,15 @@
 /// are too small, even when idle.
 bool exceedsAllWorkers(const FleetInstance &State, const PlacerJob &Job);
 
+/// \brief Updates the times promised to refused callers; called in each tick.
+void reviewReturns(FleetStepContext &Ctx);
+
+/// \brief Chooses when the caller of a refused job returns.
+/// \param Work of its waiting tasks, in thousandths of a core times
+/// milliseconds.
+Milliseconds returnDelay(FleetStepContext &Ctx, const PlacerJob &Job,
+                         double Work, Milliseconds MinRetryAfter);
+
 /// \brief Whether a task of the job runs or has run.
 inline bool isStarted(const PlacerJob &Job) {
   return Job.Request_.IsStarted_ || !Job.Reservations_.empty();
--- a/coordination/marjorambend/src/Scheduling/Overload.cpp
+++ b/coordination/marjorambend/src/Scheduling/Overload.cpp
@@ -43,11 +43,15 @@
   return Late;
 }
 
+int64_t expectedMilliCores(const FleetCapacity &Capacity, bool IsSettling) {
+  return IsSettling
+             ? std::max(Capacity.OpenMilliCores_, Capacity.ListedMilliCores_)
+             : Capacity.OpenMilliCores_;
+}
+
 Milliseconds backlogTime(double Work, const FleetCapacity &Capacity,
                          bool IsSettling, const RetryAfterOptions &Options) {
-  const int64_t MilliCores = IsSettling ? std::max(Capacity.OpenMilliCores_,
-                                                   Capacity.ListedMilliCores_)
-                                        : Capacity.OpenMilliCores_;
+  const int64_t MilliCores = expectedMilliCores(Capacity, IsSettling);
   if (MilliCores <= 0)
     return Options.NoWorkersRetryAfter_;
   return {static_cast<int64_t>(Work / static_cast<double>(MilliCores))};
--- a/coordination/marjorambend/src/Scheduling/Overload.h
+++ b/coordination/marjorambend/src/Scheduling/Overload.h
@@ -19,8 +19,12 @@
   Milliseconds LastSettledAt_;
 };
 
+/// \brief Which jobs are refused when capacity is insufficient.
+enum class AdmissionPolicy : uint8_t { LatestStart, LeastCost };
+
 /// \brief Options for the refusal of waiting jobs.
 struct OverloadOptions {
+  AdmissionPolicy Policy_ = AdmissionPolicy::LatestStart;
   /// Whether a job that can only be late is refused while jobs that can be in
   /// time wait; off for comparison.
   bool RefusesLate_ = true;
@@ -83,6 +87,10 @@
   Milliseconds TooLargeRetryAfter_{2'100};
 };
 
+/// \brief The capacity as far as it is open or about to open, in thousandths of
+/// a core.
+int64_t expectedMilliCores(const FleetCapacity &Capacity, bool IsSettling);
+
 /// \brief Time until the capacity, as far as it is open or about to open, has
 /// done the waiting work.
 /// \param Work in thousandths of a core times milliseconds.
