--- a/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
+++ b/coordination/marjorambend/src/Fleet/PlacerQueue.cpp
@@ -116,15 +116,11 @@
 
 static void refuseJob(FleetStepContext &Ctx, const PlacerJobKey &Key,
                       std::string_view Why, Milliseconds MinRetryAfter = {}) {
-  const RetryAfterOptions &Retry = Ctx.State_.Options_.Placer_.Retry_;
   PlacerState &Placer = Ctx.State_.Placing_;
   PlacerJob &Job = Placer.Jobs_.at(Key);
   recordRefusal(Ctx, Job);
-  const Milliseconds Backlog = backlogTime(
-      Placer.WaitingWork_, Placer.Capacity_, isSettling(Ctx), Retry);
   const Milliseconds RetryAfter =
-      std::max(MinRetryAfter,
-               retryAfter(Backlog, uniformUnit(Ctx.State_.Generator_), Retry));
+      returnDelay(Ctx, Job, waitingWork(Job), MinRetryAfter);
   log(Ctx, "place_refused", Job.Request_.Id_,
       {{"why", std::string(Why)},
        {"waited_ms", toString(Ctx.Now_ - Job.ArrivedAt_)},
@@ -377,6 +373,7 @@
 void reviewWaitingJobs(FleetStepContext &Ctx) {
   PlacerState &Placer = Ctx.State_.Placing_;
   summarizeFleet(Ctx);
+  reviewReturns(Ctx);
   moveLateJobs(Ctx);
   placeAllJobs(Ctx, UINT32_MAX);
   if (admitsByLeastCost(Ctx) && isFleetBusy(Ctx))
--- a/coordination/marjorambend/src/Fleet/PlacerStep.h
+++ b/coordination/marjorambend/src/Fleet/PlacerStep.h
@@ -43,6 +43,15 @@
 /// \brief Reason for the refusal of such a job.
 std::string_view whyExceedsAllWorkers(const FleetInstance &State);
 
+/// \brief Updates the times promised to refused callers; called in each tick.
+void reviewReturns(FleetStepContext &Ctx);
+
+/// \brief Chooses when the caller of a refused job returns.
+/// \param Work of its waiting tasks, in thousandths of a core times
+/// milliseconds.
+Milliseconds returnDelay(FleetStepContext &Ctx, const PlacerJob &Job,
+                         double Work, Milliseconds MinRetryAfter);
+
 /// \brief Whether a task of the job runs or has run.
 inline bool isStarted(const PlacerJob &Job) {
   return Job.Request_.IsStarted_ || !Job.Reservations_.empty();
--- a/coordination/marjorambend/src/Scheduling/Overload.h
+++ b/coordination/marjorambend/src/Scheduling/Overload.h
@@ -92,6 +92,10 @@
   Milliseconds TooLargeRetryAfter_{2'100};
 };
 
+/// \brief The capacity as far as it is open or about to open, in thousandths of
+/// a core.
+int64_t expectedMilliCores(const FleetCapacity &Capacity, bool IsSettling);
+
 /// \brief Time until the capacity, as far as it is open or about to open, has
 /// done the waiting work.
 /// \param Work in thousandths of a core times milliseconds.
