--- a/coordination/marjorambend/src/Fleet/Fleet.cpp
+++ b/coordination/marjorambend/src/Fleet/Fleet.cpp
@@ -145,11 +145,17 @@
   void operator()(const ListNews &M) const { applyListNews(Ctx_, M); }
   void operator()(const ConfigNews &M) const { applyConfigNews(Ctx_, M); }
   void operator()(const ConfigFreshness &M) const {
-    applyConfigFreshness(Ctx_, M);
+    applyConfigFreshness(Ctx_, From_, M);
   }
   void operator()(const RosterNews &M) const { applyRosterNews(Ctx_, M); }
   void operator()(const RosterQuery &) const { answerRosterQuery(Ctx_, From_); }
   void operator()(const CrashNews &M) const { handleCrashNews(Ctx_, M); }
+  void operator()(const CancelRequest &M) const {
+    handleCancelRequest(Ctx_, From_, M);
+  }
+  void operator()(const CancelAnswered &M) const {
+    handleCancelAnswered(Ctx_, From_, M);
+  }
 };
 
 // While this process was suspended, the other instances dropped their sessions
@@ -188,7 +194,9 @@
   tickHolds(Ctx);
   reviewSuspectJobs(Ctx);
   expireJobs(Ctx);
+  expireCancels(Ctx);
   reviewEarlyJobs(Ctx);
+  admitReturningWorkers(Ctx);
   reviewWaitingJobs(Ctx);
 }
 
@@ -200,6 +208,8 @@
       {{"other", Up.Info_.Name_}, {"data_centre", Up.Info_.DataCentre_}});
   sendStatus(Ctx, Up.Info_.Run_);
   sendOwnCrashes(Ctx, Up.Info_.Run_);
+  if (!State.Evacuations_.DataCentres_.empty())
+    sendConfigFreshness(Ctx, Up.Info_.Run_);
   if (!State.Roster_.IsRead_)
     sendMessage(Ctx, Up.Info_.Run_, RosterQuery{});
 }
@@ -222,6 +232,7 @@
   chooseCoordinators(Ctx);
   removeInstanceFromPlacer(Ctx, Run);
   stopRunsOfOrigin(Ctx, Run, LastMessage);
+  removeInstanceFromCancels(Ctx, Run);
   handleHolderLoss(Ctx, Run, Name);
   choosePlacer(Ctx);
   reviewHolds(Ctx);
@@ -236,6 +247,9 @@
   void operator()(const ConfigConfirmed &) const {
     Ctx_.State_.ConfigReadAt_ = Ctx_.Now_;
   }
+  void operator()(const EvacuationsRead &E) const {
+    applyEvacuationsRead(Ctx_, E);
+  }
   void operator()(const WorkersRead &E) const { handleWorkersRead(Ctx_, E); }
   void operator()(const WorkersReadFailed &) const {
     Ctx_.State_.IsListFresh_ = false;
@@ -244,7 +258,7 @@
   void operator()(const CrashesRead &E) const { applyStoredCrashes(Ctx_, E); }
   void operator()(JobSubmission &E) const { submitJob(Ctx_, std::move(E)); }
   void operator()(const JobAbandoned &E) const { abandonJob(Ctx_, E.Token_); }
-  void operator()(const JobCancel &E) const { cancelJob(Ctx_, E.Id_); }
+  void operator()(const JobCancel &E) const { handleCancel(Ctx_, E); }
   void operator()(const InstanceUp &E) const { handleInstanceUp(Ctx_, E); }
   void operator()(const InstanceDown &E) const {
     handleInstanceDown(Ctx_, E.Run_);
--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -79,6 +79,7 @@
   Milliseconds ListReadAt_;       ///< When this instance last read it.
   Milliseconds ConfigNewsAt_;     ///< When a reader last matched the store.
   Milliseconds ConfigReadAt_;     ///< When this instance last did so.
+  Evacuations Evacuations_; ///< Of the whole fleet, as distributed with that.
 
   std::map<Incarnation, FleetMember> Members_;
   Roster Roster_;
@@ -100,6 +101,7 @@
   /// When jobs are given up, with their numbers.
   std::set<std::pair<Milliseconds, uint64_t>> GiveUpTimes_;
   uint64_t NextJobNumber_ = 1;
+  PendingCancels Cancels_;
 
   std::map<std::string, WorkerHold> Holds_;
   /// Until when workers are not claimed again, by worker id.
--- a/coordination/marjorambend/src/Fleet/FleetMessages.h
+++ b/coordination/marjorambend/src/Fleet/FleetMessages.h
@@ -1,7 +1,9 @@
 #ifndef MARJORAMBEND_FLEET_FLEETMESSAGES_H
 #define MARJORAMBEND_FLEET_FLEETMESSAGES_H
 
+#include "marjorambend/src/Fleet/Cancels.h"
 #include "marjorambend/src/Fleet/CrashLedger.h"
+#include "marjorambend/src/Fleet/Evacuation.h"
 #include "marjorambend/src/Fleet/FleetTypes.h"
 
 #include <string>
@@ -150,10 +152,13 @@
   uint64_t Fingerprint_ = 0; ///< Of the whole list.
 };
 
-/// \brief Age of the configuration at the reader of a data centre.
+/// \brief Age of the configuration at the reader of a data centre, and the
+/// evacuated data centres, which are read with it.
 struct ConfigFreshness {
   Milliseconds Age_;     ///< Since the reader last matched the store.
   uint64_t Version_ = 0; ///< In force at the reader.
+  uint64_t EvacuationsVersion_ = 0; ///< 0: the sender has not read them.
+  DataCentreNames Evacuated_;
 };
 
 /// \brief All instances known to the sender.
@@ -176,13 +181,27 @@
   std::vector<WorkerIncarnation> Withdrawn_;
 };
 
+/// \brief Asks an instance to cancel a job if it is open there.
+struct CancelRequest {
+  uint64_t Id_ = 0; ///< The job identity chosen by the caller.
+  /// Whether the sender asks all instances itself; otherwise the recipient
+  /// asks them on its behalf.
+  bool IsForwarded_ = false;
+};
+
+/// \brief Answers a CancelRequest.
+struct CancelAnswered {
+  uint64_t Id_ = 0;
+  CancelResult Result_ = CancelResult::Unknown;
+};
+
 /// \brief Any message between instances.
 using FleetMessage =
     std::variant<InstanceStatus, WorkersHeld, WorkersDropped, PlaceRequest,
                  PlaceWithdraw, PlaceRelease, PlaceAdopt, Placed, PlaceRefused,
                  StartOrder, StopOrder, RunEnded, ListNews, ConfigNews,
                  ConfigFreshness, WorkerPaces, RosterNews, RosterQuery,
-                 CrashNews>;
+                 CrashNews, CancelRequest, CancelAnswered>;
 
 } // namespace marjorambend
 
--- a/coordination/marjorambend/src/Fleet/FleetOptions.h
+++ b/coordination/marjorambend/src/Fleet/FleetOptions.h
@@ -2,7 +2,9 @@
 #define MARJORAMBEND_FLEET_FLEETOPTIONS_H
 
 #include "marjorambend/src/Fleet/CrashLedger.h"
+#include "marjorambend/src/Fleet/Evacuation.h"
 #include "marjorambend/src/Scheduling/Overload.h"
+#include "marjorambend/src/Scheduling/ReturnTimes.h"
 #include "marjorambend/src/Scheduling/RunTimes.h"
 #include "marjorambend/src/Support/Milliseconds.h"
 
@@ -102,6 +104,7 @@
   Milliseconds PriorityStep_{100};
   OverloadOptions Overload_;
   RetryAfterOptions Retry_;
+  ReturnTimesOptions Returns_;
   /// Interval at which the fleet's capacity and median slowness are computed.
   Milliseconds SummaryInterval_{100};
 };
@@ -170,6 +173,9 @@
   /// platform sends new connections elsewhere, after two failed checks one
   /// second apart.
   Milliseconds StopGracePeriod_{2'500};
+  /// Time for which other instances are asked about a job that is cancelled;
+  /// a third of the three seconds within which its tasks must have stopped.
+  Milliseconds CancelWait_{1'000};
   /// Time after an outage of the platform's list in which workers that are
   /// missing from it are kept; the platform restores entries within about two
   /// seconds.
@@ -178,6 +184,7 @@
   PlacerOptions Placer_;
   RosterOptions Roster_;
   CrashOptions Crashes_;
+  EvacuationOptions Evacuation_;
 };
 
 } // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/Holder.cpp
+++ b/coordination/marjorambend/src/Fleet/Holder.cpp
@@ -28,9 +28,17 @@
           .FencingToken_ = Hold.FencingToken_};
 }
 
+// A worker may restart with other labels, another service or another capacity
+// under its id. Until the list has been read again, the report is that of the
+// previous incarnation and must not be used to place tasks.
+static bool isReportCurrent(const WorkerHold &Hold) {
+  return Hold.ListedIncarnation_ == 0 ||
+         Hold.ListedIncarnation_ >= Hold.Report_.Incarnation_;
+}
+
 bool isOpen(const WorkerHold &Hold, Milliseconds Now) {
-  return Hold.Phase_ == HoldPhase::Open && Hold.IsListed_ &&
-         !Hold.Report_.IsDraining_ && !Hold.IsClosing_ &&
+  return isReportCurrent(Hold) && Hold.Phase_ == HoldPhase::Open &&
+         Hold.IsListed_ && !Hold.Report_.IsDraining_ && !Hold.IsClosing_ &&
          Hold.EjectedUntil_ <= Now;
 }
 
@@ -264,6 +272,11 @@
     return;
   }
   WorkerHold &Hold = *Found;
+  if (isEvacuated(Ctx.State_.Evacuations_, Hold.Report_.DataCentre_)) {
+    refuseStart(Ctx, Origin, Order.Job_, Wanted,
+                "the data centre is evacuated");
+    return;
+  }
   if (!isOpen(Hold, Ctx.Now_) || !Hold.ClockOffset_ ||
       !canRenewLease(Ctx, Hold)) {
     refuseStart(Ctx, Origin, Order.Job_, Wanted,
--- a/coordination/marjorambend/src/Fleet/PlacerState.h
+++ b/coordination/marjorambend/src/Fleet/PlacerState.h
@@ -3,6 +3,7 @@
 
 #include "marjorambend/src/Fleet/FleetMessages.h"
 #include "marjorambend/src/Scheduling/Overload.h"
+#include "marjorambend/src/Scheduling/ReturnTimes.h"
 #include "marjorambend/src/Scheduling/RunTimes.h"
 #include "marjorambend/src/Scheduling/WaitingQueue.h"
 #include "marjorambend/src/Scheduling/WorkerChoice.h"
@@ -42,6 +43,9 @@
   Incarnation Holder_;
   Room Reserved_; ///< By placements that are not released yet.
   Milliseconds BackOffUntil_;
+  /// The holder reports it as open; Held_.IsOpen_ also requires that its data
+  /// centre admits tasks. \sa isAdmitted
+  bool IsReportedOpen_ = false;
   std::optional<WorkerIndexKey> Key_; ///< Not set if it is not indexed.
 };
 
@@ -64,6 +68,8 @@
   std::set<uint32_t> Suspects_;       ///< Waiting tasks that may crash workers.
   std::optional<WaitingJob> Waiting_; ///< Its entry in a queue.
   bool IsLate_ = false;               ///< The entry is in PlacerState::Late_.
+  JobSize Size_;            ///< On arrival; set by AdmissionPolicy::LeastCost.
+  bool IsAdmitted_ = false; ///< Otherwise in PlacerState::Unreviewed_, or late.
 };
 
 /// \brief Workers and waiting tasks of the whole fleet.
@@ -75,15 +81,22 @@
   std::map<PlacerJobKey, PlacerJob> Jobs_;
   /// Waiting jobs that can meet their objective or have started.
   WaitingQueue InTime_;
+  /// Jobs in time that have arrived since the last review, which admits or
+  /// refuses them; only with AdmissionPolicy::LeastCost.
+  WaitingQueue Unreviewed_;
+  FairShares Shares_;
+  Milliseconds SharesLoggedAt_;
   WaitingQueue Late_; ///< The other waiting jobs; moved there by ticks.
   WorkerIndex OpenWorkers_;
   double MedianSlowness_ = 1.0; ///< Of the open workers.
   FleetCapacity Capacity_;
+  int64_t ReservedMilliCores_ = 0; ///< On open workers.
   /// Of all waiting tasks, in thousandths of a core times milliseconds.
   double WaitingWork_ = 0;
   Milliseconds SummarizedAt_; ///< When these were computed.
   bool IsDirty_ = false;      ///< Any waiting task may have become placeable.
   std::vector<PlacerJobKey> NewJobs_; ///< Not tried since their request.
+  ReturnLedger Returns_;              ///< Used with AdmissionPolicy::LeastCost.
   RunTimes RunTimes_;
   /// By label of the worker; only if PlacerOptions::WaitsForData_ is set.
   std::map<std::string, ReleaseRate> Releases_;
@@ -91,7 +104,7 @@
 
 /// \brief Number of jobs with waiting tasks.
 inline std::size_t countWaitingJobs(const PlacerState &Placer) {
-  return Placer.InTime_.Size_ + Placer.Late_.Size_;
+  return Placer.InTime_.Size_ + Placer.Unreviewed_.Size_ + Placer.Late_.Size_;
 }
 
 } // namespace marjorambend
--- a/coordination/marjorambend/src/Fleet/PlacerStep.h
+++ b/coordination/marjorambend/src/Fleet/PlacerStep.h
@@ -13,7 +13,18 @@
 
 /// \brief The queue that the job's entry belongs to.
 inline WaitingQueue &queueOf(PlacerState &Placer, const PlacerJob &Job) {
-  return Job.IsLate_ ? Placer.Late_ : Placer.InTime_;
+  if (Job.IsLate_)
+    return Placer.Late_;
+  return Job.IsAdmitted_ ? Placer.InTime_ : Placer.Unreviewed_;
+}
+
+/// \brief Work of the waiting tasks, in thousandths of a core times
+/// milliseconds.
+inline double waitingWork(const PlacerJob &Job) {
+  const PlaceRequest &Request = Job.Request_;
+  return static_cast<double>(Request.Tasks_.size()) *
+         static_cast<double>(Request.Needs_.MilliCores_) *
+         static_cast<double>(Request.Estimate_.Count_);
 }
 
 /// \brief What a task reserves on a worker: its needs, or all that is free for
@@ -26,9 +37,21 @@
 void removeIfDone(PlacerState &Placer, const PlacerJobKey &Key);
 
 /// \brief Whether workers that could run the job are listed, and all of them
-/// are too small, even when idle.
+/// are too small, even when idle, or in evacuated data centres.
 bool exceedsAllWorkers(const FleetInstance &State, const PlacerJob &Job);
 
+/// \brief Reason for the refusal of such a job.
+std::string_view whyExceedsAllWorkers(const FleetInstance &State);
+
+/// \brief Updates the times promised to refused callers; called in each tick.
+void reviewReturns(FleetStepContext &Ctx);
+
+/// \brief Chooses when the caller of a refused job returns.
+/// \param Work of its waiting tasks, in thousandths of a core times
+/// milliseconds.
+Milliseconds returnDelay(FleetStepContext &Ctx, const PlacerJob &Job,
+                         double Work, Milliseconds MinRetryAfter);
+
 /// \brief Whether a task of the job runs or has run.
 inline bool isStarted(const PlacerJob &Job) {
   return Job.Request_.IsStarted_ || !Job.Reservations_.empty();
--- a/coordination/test/Simulation/FleetLoad.cpp
+++ b/coordination/test/Simulation/FleetLoad.cpp
@@ -67,10 +67,12 @@
   return Options;
 }
 
-static int compareOnUnevenFleets(const std::string &Shape, uint64_t Seed,
-                                 int64_t Duration, uint32_t Racks) {
+static void compareOnUnevenFleets(const std::string &Shape,
+                                  AdmissionPolicy Policy, uint64_t Seed,
+                                  int64_t Duration, uint32_t Racks) {
   for (const double Load : {1.0, 1.43, 1.8, 2.2, 2.6}) {
     FleetSimulationOptions Options = unevenFleet(Shape, Load, Seed, Duration);
+    Options.Placer_.Overload_.Policy_ = Policy;
     if (Racks > 0) {
       Options.DataRacks_ = Racks;
       Options.RemoteFactor_ = Options.Placer_.RemoteFactor_;
@@ -79,28 +81,38 @@
     Options.Placer_.WaitsForData_ = true;
     printResult("waiting", Load, FleetSimulation(Options).run());
   }
-  return 0;
 }
 
-// Usage: fleet_load [SEED [LENGTH_MS [SHAPE [RACKS]]]]; the shapes are
-// "quarter", a fleet with a quarter of fast workers, and "swinging", one of
-// slow and of large workers whose demand swings between data centres; with the
-// suffix "-spiky", the load peaks.
+// Usage: fleet_load [SEED [LENGTH_MS [POLICY [SHAPE [RACKS]]]]]; the policies
+// are "latest_start" and "least_cost". The shapes are "quarter", a fleet with a
+// quarter of fast workers, and "swinging", one of slow and of large workers
+// whose demand swings between data centres; with the suffix "-spiky", the load
+// peaks.
 int main(int Count, char **Arguments) {
   const uint64_t Seed =
       Count > 1 ? std::strtoull(Arguments[1], nullptr, 10) : 1;
   const int64_t Duration =
       Count > 2 ? std::strtoll(Arguments[2], nullptr, 10) : 15'000;
-  if (Count > 3)
-    return compareOnUnevenFleets(
-        Arguments[3], Seed, Duration,
-        Count > 4 ? static_cast<uint32_t>(std::atoi(Arguments[4])) : 0);
-  for (const double Load : {0.65, 1.1, 1.43, 1.8}) {
-    const FleetSimulationOptions Options{
-        .Seed_ = Seed,
-        .Kinds_ = agenciaKinds(Load),
-        .LoadUntil_ = {3'000 + Duration},
-        .Duration_ = {3'000 + Duration + 20'000}};
+  const std::string PolicyName = Count > 3 ? Arguments[3] : "latest_start";
+  if (PolicyName != "latest_start" && PolicyName != "least_cost") {
+    std::fprintf(stderr, "fleet_load: %s is not a policy\n",
+                 PolicyName.c_str());
+    return 2;
+  }
+  const auto Policy = PolicyName == "least_cost" ? AdmissionPolicy::LeastCost
+                                                 : AdmissionPolicy::LatestStart;
+  if (Count > 4) {
+    compareOnUnevenFleets(
+        Arguments[4], Policy, Seed, Duration,
+        Count > 5 ? static_cast<uint32_t>(std::atoi(Arguments[5])) : 0);
+    return 0;
+  }
+  for (const double Load : {0.65, 1.1, 1.43, 1.8, 2.6, 4.0}) {
+    FleetSimulationOptions Options{.Seed_ = Seed,
+                                   .Kinds_ = agenciaKinds(Load),
+                                   .LoadUntil_ = {3'000 + Duration},
+                                   .Duration_ = {3'000 + Duration + 20'000}};
+    Options.Placer_.Overload_.Policy_ = Policy;
     printResult("steady", Load, FleetSimulation(Options).run());
   }
   FleetSimulationOptions Burst{.Seed_ = Seed,
@@ -108,5 +120,6 @@
                                .Peaks_ = {{{6'000}, {10'000}, 2.0, "certpeso"}},
                                .LoadUntil_ = {3'000 + Duration},
                                .Duration_ = {3'000 + Duration + 20'000}};
+  Burst.Placer_.Overload_.Policy_ = Policy;
   printResult("burst", 0.9, FleetSimulation(Burst).run());
 }
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -20,6 +20,9 @@
 // Allows for a worker's slow clock and for the time that a stop takes.
 static constexpr Milliseconds LeaseMargin{150};
 static constexpr uint16_t NotFound = 404;
+// Budget of the listeners for readiness checks and metrics, relative to that of
+// the listener for callers.
+static constexpr std::size_t CheckShare = 16;
 
 static uint64_t seedFrom(uint64_t Given) {
   if (Given != 0)
@@ -28,21 +31,20 @@
   return (static_cast<uint64_t>(Source()) << 32U) | Source();
 }
 
-static double remoteFactorOf(const PlatformSettings &Settings) {
-  return Settings.RemoteFactor_.value_or(PlacerOptions{}.RemoteFactor_);
-}
-
 static FleetInstance makeInstance(const PlatformSettings &Settings,
                                   const FleetDaemonOptions &Given) {
   FleetOptions Options;
+  Options.Placer_.Overload_.Policy_ = Given.Policy_;
   Options.Name_ = Settings.Name_;
   Options.DataCentre_ = Settings.DataCentre_;
   Options.CpuShare_ = Settings.CpuShare_;
   Options.Holder_.MaxLease_ = Settings.MaxLease_;
+  Options.Evacuation_.ReturnTime_ = Settings.EvacuationReturn_;
   Options.Holder_.Lease_ = std::min(
       {Options.Holder_.Lease_, Settings.MaxLease_,
        Settings.ResendAfter_ - Options.Holder_.OriginTimeout_ - LeaseMargin});
-  Options.Placer_.RemoteFactor_ = remoteFactorOf(Settings);
+  if (Given.ChoosesEarliestEnd_)
+    Options.Placer_.RemoteFactor_ = Settings.RemoteFactor_;
   Options.Placer_.WaitsForData_ = Given.ChoosesEarliestEnd_;
   Options.Placer_.LearnsRunTimes_ = Given.ChoosesEarliestEnd_;
   FleetInstance State =
@@ -52,11 +54,24 @@
   return State;
 }
 
-static HttpServerOptions listenOn(const Endpoint &At) {
+static HttpServerOptions listenOn(const Endpoint &At,
+                                  const CallerBudget &Budget) {
   return {.Address_ = At.Address_,
           .Port_ = At.Port_,
+          .MaxHeaderBytes_ = RequestLimits{}.MaxHeaderBytes_,
           .MaxBodyBytes_ = RequestLimits{}.MaxBodyBytes_,
-          .RequestTimeout_ = RequestLimits{}.HeaderTimeout_};
+          .RequestTimeout_ = RequestLimits{}.HeaderTimeout_,
+          .Budget_ = Budget,
+          .Overloaded_ = encodeAnswer(
+              {.Outcome_ = JobOutcome::NotRun,
+               .RetryAfter_ = RetryAfterOptions{}.MaxRetryAfter_})};
+}
+
+// Readiness checks and reads of the metrics have no bodies, and come from few
+// clients.
+static CallerBudget checkBudget(const PlatformSettings &Settings) {
+  return budgetOf(Settings.MemoryBytes_ / CheckShare,
+                  Settings.MaxDescriptors_ / CheckShare);
 }
 
 /// \brief Carries out the actions of a step.
@@ -66,6 +81,9 @@
   void operator()(const AnswerJob &A) const {
     D_.Callers_.reply(A.Token_, encodeAnswer(A));
   }
+  void operator()(const AnswerCancel &A) const {
+    D_.Callers_.reply(A.Token_, encodeCancel(A.Result_));
+  }
   void operator()(const StartRun &A) const { D_.Workers_.start(A); }
   void operator()(const StopRun &A) const { D_.Workers_.stop(A); }
   void operator()(const PollWorker &A) const { D_.Workers_.poll(A); }
@@ -111,6 +129,8 @@
                 handle(InstancesRead{std::move(Known)});
               },
           .OnConfigConfirmed_ = [this] { handle(ConfigConfirmed{}); },
+          .OnEvacuations_ =
+              [this](EvacuationsRead Read) { handle(std::move(Read)); },
           .OnCrashes_ = [this](CrashesRead Read) { handle(std::move(Read)); },
           .Clock_ = [this] { return sharedClock(StoreClock_, monotonicNow()); },
           .OnClock_ =
@@ -166,18 +186,24 @@
       Store_(Loop, StoreClient_,
              {.Store_ = Settings.Store_,
               .Self_ = State_.Self_,
+              .FollowsEvacuations_ = Settings.FollowsEvacuations_,
               .Crashes_ = {.Retention_ = State_.Options_.Crashes_.Retention_}},
              storeEvents()),
       Callers_(
-          Loop, listenOn(Settings.Callers_),
+          Loop,
+          listenOn(Settings.Callers_,
+                   budgetOf(Settings.MemoryBytes_, Settings.MaxDescriptors_)),
           [this](HttpRequest &&R) { return onCaller(std::move(R)); },
-          [this](uint64_t Token) { handle(JobAbandoned{Token}); }),
+          [this](uint64_t Token) { handle(JobAbandoned{Token}); },
+          [this](CloseCause Cause) { onCallerClosed(Cause); }),
       Readiness_(
-          Loop, listenOn(Settings.Readiness_),
+          Loop, listenOn(Settings.Readiness_, checkBudget(Settings)),
           [this](HttpRequest &&R) { return onReadiness(R); }, nullptr) {
   if (Options.MetricsPort_ != 0)
     Metrics_ = std::make_unique<HttpServer>(
-        Loop, listenOn({Settings.Address_, Options.MetricsPort_}),
+        Loop,
+        listenOn({Settings.Address_, Options.MetricsPort_},
+                 checkBudget(Settings)),
         [this](HttpRequest &&) { return onMetrics(); }, nullptr);
 }
 
@@ -210,8 +236,8 @@
 }
 
 void FleetDaemon::applyLimits(const RequestLimits &Limits) {
-  Callers_.setLimits(Limits.MaxBodyBytes_, Limits.HeaderTimeout_,
-                     Limits.IdleTimeout_);
+  Callers_.setLimits(Limits.MaxHeaderBytes_, Limits.MaxBodyBytes_,
+                     Limits.HeaderTimeout_, Limits.IdleTimeout_);
 }
 
 void FleetDaemon::handle(FleetEvent Incoming) {
@@ -260,9 +286,8 @@
     return encodeState(stateOf(State_, *Id));
   if (Request.Method_ != "DELETE")
     return jsonReply(405, R"({"error":"use POST, GET or DELETE"})");
-  const bool IsKnown = stateOf(State_, *Id) != JobState::Unknown;
-  handle(JobCancel{*Id});
-  return jsonReply(IsKnown ? 200 : 410, "{}");
+  handle(JobCancel{*Id, Request.Token_});
+  return std::nullopt;
 }
 
 std::optional<HttpReply> FleetDaemon::submit(HttpRequest &&Request,
@@ -311,10 +336,23 @@
           renderHistogramType("session_confirm_milliseconds") +
           renderHistogram(Links_.confirmationTimes(),
                           "session_confirm_milliseconds", "") +
+          renderLoad(Callers_.load()) +
           renderGauge("log_lines_dropped", Log_.dropped()) +
           renderGauge("log_lines_sampled_out", Log_.sampledOut())};
 }
 
+void FleetDaemon::onCallerClosed(CloseCause Cause) {
+  increment(State_.Counters_, counterOf(Cause));
+  const auto Count = Closures_.note(Cause, monotonicNow());
+  if (!Count)
+    return;
+  const HttpServerLoad Load = Callers_.load();
+  logLine("callers_closed", {{"why", std::string(nameOf(Cause))},
+                             {"count", std::to_string(*Count)},
+                             {"held_bytes", std::to_string(Load.Bytes_)},
+                             {"receiving", std::to_string(Load.Receiving_)}});
+}
+
 void FleetDaemon::stop() {
   if (StopAt_)
     return;
@@ -331,8 +369,11 @@
     return;
   }
   logLine("reload", {{"name", Given->Name_}});
+  State_.Options_.Evacuation_.ReturnTime_ = Given->EvacuationReturn_;
   addSeeds(*Given);
-  State_.Options_.Placer_.RemoteFactor_ = remoteFactorOf(*Given);
+  Callers_.setBudget(budgetOf(Given->MemoryBytes_, Given->MaxDescriptors_));
+  if (State_.Options_.Placer_.WaitsForData_)
+    State_.Options_.Placer_.RemoteFactor_ = Given->RemoteFactor_;
 }
 
 void FleetDaemon::addSeeds(const PlatformSettings &From) {
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -1,6 +1,7 @@
 #ifndef MARJORAMBEND_DAEMON_FLEETDAEMON_H
 #define MARJORAMBEND_DAEMON_FLEETDAEMON_H
 
+#include "CallerClosures.h"
 #include "PlatformSettings.h"
 #include "StoreWatch.h"
 #include "WorkerCalls.h"
@@ -17,8 +18,9 @@
 struct FleetDaemonOptions {
   uint16_t MetricsPort_ = 0; ///< On the machine's address; 0: none.
   uint64_t Seed_ = 0;        ///< 0: from std::random_device.
-  /// Whether tasks may wait for workers near their data, and run times are
-  /// learned (`worker_choice`).
+  AdmissionPolicy Policy_ = AdmissionPolicy::LatestStart;
+  /// Whether tasks may wait for workers near their data, run times are learned
+  /// and the settings file's factor for remote data applies (`worker_choice`).
   bool ChoosesEarliestEnd_ = false;
 };
 
@@ -35,8 +37,10 @@
   /// \brief Begins a graceful stop.
   void stop();
 
-  /// \brief Reads a changed settings file, adds its seed addresses and adopts
-  /// its factor for remote data; changes nothing if the file is rejected.
+  /// \brief Reads a changed settings file; its seed addresses are added, and
+  /// its bounds on callers and, with `worker_choice` = `earliest_end`, its
+  /// factor for remote data come into force. Changes nothing if the file is
+  /// rejected.
   void reload(const std::string &Path);
 
 private:
@@ -46,6 +50,7 @@
   std::optional<HttpReply> onCaller(HttpRequest &&Request);
   HttpReply onReadiness(const HttpRequest &Request) const;
   HttpReply onMetrics() const;
+  void onCallerClosed(CloseCause Cause);
   std::optional<HttpReply> submit(HttpRequest &&Request, std::string Path,
                                   uint64_t Id);
   void checkStop();
@@ -65,6 +70,7 @@
   platform::WorkerCalls Workers_;
   platform::StoreWatch Store_;
   HttpServer Callers_;
+  CallerClosures Closures_;
   HttpServer Readiness_;
   std::unique_ptr<HttpServer> Metrics_;
   std::deque<FleetEvent> Events_;
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -46,14 +46,13 @@
 // on the users' platform.
 static constexpr const char *SettingsFileVariable = "MARJORAMBEND_NODE_FILE";
 
-// \p Arguments begin with the word `platform`.
-static int runOnPlatform(const std::string &Path, int Count, char **Arguments) {
-  const auto Flags = readPlatformFlags(Count, Arguments);
-  if (!Flags) {
-    for (const std::string &Problem : Flags.error().Problems_)
-      std::cerr << "marjorambend: " << Problem << '\n';
-    return ExitWrongSettings;
-  }
+static int reportProblems(const SettingsError &Error) {
+  for (const std::string &Problem : Error.Problems_)
+    std::cerr << "marjorambend: " << Problem << '\n';
+  return ExitWrongSettings;
+}
+
+static int runOnPlatform(const std::string &Path, const SettingsT &Flags) {
   const auto Settings = platform::readSettingsFile(Path);
   if (!Settings) {
     std::cerr << "marjorambend: " << Settings.error().What_ << '\n';
@@ -64,7 +63,10 @@
   FleetDaemon Instance(
       Loop, *Settings,
       {.MetricsPort_ = MetricsPort,
-       .ChoosesEarliestEnd_ = Flags->worker_choice == "earliest_end"});
+       .Policy_ = Flags.admission_policy == "least_cost"
+                      ? AdmissionPolicy::LeastCost
+                      : AdmissionPolicy::LatestStart,
+       .ChoosesEarliestEnd_ = Flags.worker_choice == "earliest_end"});
   const SignalWatch Terminate(Loop, SIGTERM, [&] { Instance.stop(); });
   const SignalWatch Interrupt(Loop, SIGINT, [&] { Instance.stop(); });
   const SignalWatch Hangup(Loop, SIGHUP, [&] { Instance.reload(Path); });
@@ -79,14 +81,14 @@
 int main(int Count, char **Arguments) {
   const char *File = std::getenv(SettingsFileVariable);
   if (File != nullptr && Count > 1 &&
-      std::string_view(Arguments[1]) == "platform")
-    return runOnPlatform(File, Count - 1, Arguments + 1);
-  const auto Line = readSettings(Count, Arguments);
-  if (!Line) {
-    for (const std::string &Problem : Line.error().Problems_)
-      std::cerr << "marjorambend: " << Problem << '\n';
-    return ExitWrongSettings;
+      std::string_view(Arguments[1]) == "platform") {
+    const auto Flags = readPlatformFlags(Count, Arguments,
+                                         {"admission_policy", "worker_choice"});
+    return Flags ? runOnPlatform(File, *Flags) : reportProblems(Flags.error());
   }
+  const auto Line = readSettings(Count, Arguments);
+  if (!Line)
+    return reportProblems(Line.error());
   if (Line->IsHelp_) {
     std::cout << settingsHelp();
     return 0;
--- a/transport/marjorambend/src/Transport/FleetDecoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetDecoder.cpp
@@ -23,6 +23,12 @@
   return Given == nullptr ? std::string() : Given->str();
 }
 
+static CancelResult toCancelResult(uint8_t Value) {
+  return Value <= static_cast<uint8_t>(CancelResult::Cancelled)
+             ? static_cast<CancelResult>(Value)
+             : CancelResult::Unknown;
+}
+
 static RunEnd toEnd(uint8_t Value) {
   return Value <= static_cast<uint8_t>(RunEnd::Superseded)
              ? static_cast<RunEnd>(Value)
@@ -144,6 +150,14 @@
   return Given;
 }
 
+static ConfigFreshness toFreshness(const fleetwire::ConfigFreshness &M) {
+  const std::vector<std::string> Evacuated = toStdStrings(M.evacuated());
+  return {.Age_ = {M.age_ms()},
+          .Version_ = M.version(),
+          .EvacuationsVersion_ = M.evacuations_version(),
+          .Evacuated_ = {Evacuated.begin(), Evacuated.end()}};
+}
+
 static RosterNews toRoster(const fleetwire::RosterNews &M) {
   RosterNews Given;
   if (M.instances() == nullptr)
@@ -239,16 +253,22 @@
   }
   case fleetwire::Body::StartOrder:
     return toOrder(*Frame.body_as_StartOrder());
-  case fleetwire::Body::ConfigFreshness: {
-    const auto &M = *Frame.body_as_ConfigFreshness();
-    return ConfigFreshness{{M.age_ms()}, M.version()};
-  }
+  case fleetwire::Body::ConfigFreshness:
+    return toFreshness(*Frame.body_as_ConfigFreshness());
   case fleetwire::Body::RosterNews:
     return toRoster(*Frame.body_as_RosterNews());
   case fleetwire::Body::WorkerPaces:
     return toPaces(*Frame.body_as_WorkerPaces());
   case fleetwire::Body::CrashNews:
     return toCrashNews(*Frame.body_as_CrashNews());
+  case fleetwire::Body::CancelRequest: {
+    const auto &M = *Frame.body_as_CancelRequest();
+    return CancelRequest{M.id(), M.is_forwarded()};
+  }
+  case fleetwire::Body::CancelAnswered: {
+    const auto &M = *Frame.body_as_CancelAnswered();
+    return CancelAnswered{M.id(), toCancelResult(M.result())};
+  }
   case fleetwire::Body::RosterQuery:
     return RosterQuery{};
   case fleetwire::Body::Confirmation:
--- a/transport/marjorambend/src/Transport/FleetEncoder.cpp
+++ b/transport/marjorambend/src/Transport/FleetEncoder.cpp
@@ -115,6 +115,16 @@
                                           M.RanPercent_)
                 .Union()};
   }
+  FleetBody operator()(const CancelRequest &M) const {
+    return {fleetwire::Body::CancelRequest,
+            fleetwire::CreateCancelRequest(B_, M.Id_, M.IsForwarded_).Union()};
+  }
+  FleetBody operator()(const CancelAnswered &M) const {
+    return {fleetwire::Body::CancelAnswered,
+            fleetwire::CreateCancelAnswered(B_, M.Id_,
+                                            static_cast<uint8_t>(M.Result_))
+                .Union()};
+  }
   FleetBody operator()(const PlaceAdopt &M) const {
     const auto Worker = text(M.Worker_);
     const fleetwire::Room Needs = toWire(M.Needs_);
@@ -154,8 +164,11 @@
                 .Union()};
   }
   FleetBody operator()(const ConfigFreshness &M) const {
+    const auto Evacuated = B_.CreateVectorOfStrings(
+        std::vector<std::string>(M.Evacuated_.begin(), M.Evacuated_.end()));
     return {fleetwire::Body::ConfigFreshness,
-            fleetwire::CreateConfigFreshness(B_, M.Age_.Count_, M.Version_)
+            fleetwire::CreateConfigFreshness(B_, M.Age_.Count_, M.Version_,
+                                             M.EvacuationsVersion_, Evacuated)
                 .Union()};
   }
   FleetBody operator()(const RosterNews &M) const {
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -1,6 +1,6 @@
-#include "marjorambend/src/Transport/HttpServer.h"
+#include "marjorambend/src/Transport/HttpConnection.h"
 
-#include <charconv>
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -17,28 +17,16 @@
 // A body above the limit is read and discarded, so that the client can read the
 // answer; one above the limit times this factor is not read.
 static constexpr std::size_t DiscardFactor = 8;
-// Incomplete headers beyond this size are passed on to libevhtp, which applies
-// its own limits.
-static constexpr std::size_t MaxBufferedHeader = 16U << 10U;
-static constexpr std::string_view HeaderEnd = "\r\n\r\n";
-
-struct EvbufferDeleter {
-  void operator()(evbuffer *Buffer) const { evbuffer_free(Buffer); }
-};
-
-/// \brief State of a connection in addition to libevhtp's.
-struct HttpServer::Connection {
-  Milliseconds ExpiresAt_;  ///< Time at which it is closed.
-  bool IsReceiving_ = true; ///< A request may be partly received.
-  bool IsTooLarge_ = false; ///< The body is being discarded.
-  bool IsInBody_ = false;   ///< Header complete, body not.
-  std::size_t BodyBytes_ = 0;
-  bool IsAnswering_ = false; ///< A request is complete and not answered yet.
-  /// Received while a request was being answered.
-  std::unique_ptr<evbuffer, EvbufferDeleter> Pipelined_{evbuffer_new()};
-  bufferevent_data_cb Parse_ = nullptr;    ///< libevhtp's callback.
-  bufferevent_event_cb OnEvent_ = nullptr; ///< libevhtp's callback.
-};
+// Bytes behind an open request at which reading pauses.
+static constexpr std::size_t MaxPipelinedBytes = 16U << 10U;
+// Receive buffer of a caller's socket where memory is bounded; the kernel
+// charges unread bytes to the process and doubles the value.
+static constexpr int ReceiveBufferBytes = 32 << 10;
+// While reading pauses behind an open request.
+static constexpr int PausedReceiveBufferBytes = 2 << 10;
+// Time for a client to read a refusal before its connection is closed.
+static constexpr Milliseconds RefusalTime{500};
+static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// \brief Callbacks for libevhtp.
 struct HttpServerHooks {
@@ -54,48 +42,123 @@
 
   static evhtp_res onAccept(evhtp_connection_t *Raw, void *Argument) {
     HttpServer &Server = *serverOf(Argument);
+    if (!Server.makeRoom())
+      return EVHTP_RES_ERROR;
     auto State = std::make_unique<HttpServer::Connection>();
-    State->ExpiresAt_ = monotonicNow() + Server.Options_.RequestTimeout_;
+    State->StartedAt_ = monotonicNow();
+    State->IdleSince_ = State->StartedAt_;
     bufferevent_data_cb OnWritten = nullptr;
     void *Owner = nullptr;
     bufferevent_getcb(Raw->bev, &State->Parse_, &OnWritten, &State->OnEvent_,
                       &Owner);
     bufferevent_setcb(Raw->bev, onBytes, OnWritten, onEvent, Owner);
+    Server.charge(Raw, *State);
     Server.Connections_[Raw] = std::move(State);
     int On = 1;
     setsockopt(Raw->sock, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-    setHook(Raw, evhtp_hook_on_headers_start, onHeadersStart, Argument);
-    setHook(Raw, evhtp_hook_on_headers, onHeaders, Argument);
-    setHook(Raw, evhtp_hook_on_read, onRead, Argument);
+    setReceiveBuffer(Server, Raw, ReceiveBufferBytes);
     setHook(Raw, evhtp_hook_on_connection_fini, onConnectionFini, Argument);
     return EVHTP_RES_OK;
   }
 
-  // libevhtp's parser corrupts a path that arrives in several pieces, so a
-  // header is passed on only once it is complete.
-  static void onBytes(bufferevent *Buffer, void *Argument) {
+  static void setReceiveBuffer(const HttpServer &Server,
+                               const evhtp_connection_t *Raw, int Bytes) {
+    if (Server.Options_.Budget_.MaxBytes_ > 0)
+      setsockopt(Raw->sock, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof(Bytes));
+  }
+
+  // Handling the bytes may close the connection.
+  static void onBytes(bufferevent *, void *Argument) {
     auto *Raw = static_cast<evhtp_connection_t *>(Argument);
     HttpServer &Server = *serverOf(Raw->htp->arg);
     HttpServer::Connection *State = find(Server, Raw);
     if (State == nullptr)
       return;
-    evbuffer *Input = bufferevent_get_input(Buffer);
-    if (State->IsAnswering_) {
-      evbuffer_add_buffer(State->Pipelined_.get(), Input);
-      if (evbuffer_get_length(State->Pipelined_.get()) >= MaxBufferedHeader)
-        bufferevent_disable(Buffer, EV_READ);
+    if (const auto Cause = receive(Server, Raw, *State)) {
+      refuse(Server, Raw, *State, *Cause);
       return;
     }
-    evbuffer_prepend_buffer(Input, State->Pipelined_.get());
-    const bool IsHeaderIncomplete =
-        !State->IsInBody_ && evbuffer_get_length(Input) < MaxBufferedHeader &&
-        evbuffer_search(Input, HeaderEnd.data(), HeaderEnd.size(), nullptr)
-                .pos < 0;
-    if (!IsHeaderIncomplete) {
-      State->Parse_(Buffer, Argument);
+    State = find(Server, Raw);
+    if (State == nullptr)
+      return;
+    updateReading(Server, Raw, *State);
+    Server.charge(Raw, *State);
+    Server.closeExcess();
+  }
+
+  // libevhtp's parser corrupts a path that arrives in several pieces and keeps
+  // a body in pieces of its own, so a request is passed on only once it is
+  // complete. Returns why the connection is to be closed.
+  static std::optional<CloseCause> receive(HttpServer &Server,
+                                           evhtp_connection_t *Raw,
+                                           HttpServer::Connection &State) {
+    evbuffer *Input = bufferevent_get_input(Raw->bev);
+    if (State.IsRefused_) {
+      State.DiscardedBytes_ += evbuffer_get_length(Input);
+      evbuffer_drain(Input, evbuffer_get_length(Input));
+      if (State.DiscardedBytes_ > Server.Options_.MaxBodyBytes_ * DiscardFactor)
+        State.ExpiresAt_ = {};
+      return std::nullopt;
+    }
+    if (State.IsAnswering_) {
+      State.Receiver_.keep(Input);
+      return std::nullopt;
+    }
+    beginReceiving(State);
+    const HttpServerOptions &Options = Server.Options_;
+    const auto IsComplete = State.Receiver_.receive(
+        Input, {Options.MaxHeaderBytes_, Options.MaxBodyBytes_});
+    if (!IsComplete)
+      return IsComplete.error();
+    // libevhtp closes a connection that writes without a request.
+    if (State.Receiver_.takeContinue())
+      send(Raw->sock, Continue.data(), Continue.size(),
+           MSG_NOSIGNAL | MSG_DONTWAIT);
+    State.IsAnswering_ = *IsComplete;
+    if (*IsComplete)
+      State.Parse_(Raw->bev, Raw);
+    return std::nullopt;
+  }
+
+  // Reading pauses while enough bytes wait behind a request, whether it is open
+  // or only its answer is unsent: requests are served one at a time.
+  static void updateReading(const HttpServer &Server, evhtp_connection_t *Raw,
+                            HttpServer::Connection &State) {
+    const bool IsFull = State.Receiver_.pipelinedBytes() >= MaxPipelinedBytes;
+    if (IsFull)
+      bufferevent_disable(Raw->bev, EV_READ);
+    else
+      bufferevent_enable(Raw->bev, EV_READ);
+    if (State.IsPaused_ != IsFull)
+      setReceiveBuffer(Server, Raw,
+                       IsFull ? PausedReceiveBufferBytes : ReceiveBufferBytes);
+    State.IsPaused_ = IsFull;
+  }
+
+  // The connection stays open for a short time, so that the client can read the
+  // answer, unless the client ignores the bounds of a header.
+  static void refuse(HttpServer &Server, evhtp_connection_t *Raw,
+                     HttpServer::Connection &State, CloseCause Cause) {
+    Server.noteClosed(Cause);
+    const bool IsHuge = State.Receiver_.announces(
+        Server.Options_.MaxBodyBytes_ * DiscardFactor);
+    if (Cause == CloseCause::BodyTooLarge)
+      sendAndClose(Raw, "Payload Too Large", Server.Options_.TooLarge_);
+    else if (Cause == CloseCause::Malformed)
+      sendAndClose(Raw, "Bad Request", {.Status_ = 400});
+    else
+      sendAndClose(Raw, "Request Header Fields Too Large", {.Status_ = 431});
+    if (Cause != CloseCause::BodyTooLarge || IsHuge) {
+      evhtp_connection_free(Raw);
       return;
     }
-    beginReceiving(Server, *State);
+    evbuffer *Input = bufferevent_get_input(Raw->bev);
+    evbuffer_drain(Input, evbuffer_get_length(Input));
+    State.Receiver_.reset();
+    State.IsRefused_ = true;
+    State.IsReceiving_ = false;
+    State.ExpiresAt_ = monotonicNow() + RefusalTime;
+    Server.charge(Raw, State);
   }
 
   // If the client leaves while its request is paused, libevhtp frees the
@@ -117,12 +180,11 @@
     evhtp_request_resume(Open);
   }
 
-  static void beginReceiving(const HttpServer &Server,
-                             HttpServer::Connection &State) {
+  static void beginReceiving(HttpServer::Connection &State) {
     if (State.IsReceiving_)
       return;
     State.IsReceiving_ = true;
-    State.ExpiresAt_ = monotonicNow() + Server.Options_.RequestTimeout_;
+    State.StartedAt_ = monotonicNow();
   }
 
   // libevhtp declares all hooks as functions without parameters.
@@ -136,57 +198,11 @@
     evhtp_connection_set_hook(Raw, Type, asHook(Call), Argument);
   }
 
-  static evhtp_res onHeadersStart(evhtp_request_t *Request, void *Argument) {
-    HttpServer &Server = *serverOf(Argument);
-    HttpServer::Connection *State = find(Server, Request->conn);
-    if (State != nullptr)
-      beginReceiving(Server, *State);
-    return EVHTP_RES_OK;
-  }
-
-  static evhtp_res onHeaders(evhtp_request_t *Request, evhtp_headers_t *,
-                             void *Argument) {
-    HttpServer &Server = *serverOf(Argument);
-    HttpServer::Connection *State = find(Server, Request->conn);
-    if (State == nullptr)
-      return EVHTP_RES_OK;
-    State->IsTooLarge_ = false;
-    State->IsInBody_ = true;
-    State->BodyBytes_ = 0;
-    const char *Length =
-        evhtp_header_find(Request->headers_in, "Content-Length");
-    if (Length == nullptr)
-      return EVHTP_RES_OK;
-    const std::string_view Text(Length);
-    uint64_t Bytes = 0;
-    std::from_chars(Text.data(), Text.data() + Text.size(), Bytes);
-    if (Bytes > Server.Options_.MaxBodyBytes_ * DiscardFactor) {
-      sendAndClose(Request->conn, "Payload Too Large",
-                   Server.Options_.TooLarge_);
-      return EVHTP_RES_ERROR;
-    }
-    return EVHTP_RES_OK;
-  }
-
-  static evhtp_res onRead(evhtp_request_t *Request, evbuffer *Buffer,
-                          void *Argument) {
-    HttpServer &Server = *serverOf(Argument);
-    HttpServer::Connection *State = find(Server, Request->conn);
-    if (State == nullptr)
-      return EVHTP_RES_OK;
-    State->BodyBytes_ += evbuffer_get_length(Buffer);
-    if (State->BodyBytes_ <= Server.Options_.MaxBodyBytes_)
-      return EVHTP_RES_OK;
-    State->IsTooLarge_ = true;
-    evbuffer_drain(Buffer, evbuffer_get_length(Buffer));
-    evbuffer_drain(Request->buffer_in, evbuffer_get_length(Request->buffer_in));
-    if (State->BodyBytes_ <= Server.Options_.MaxBodyBytes_ * DiscardFactor)
-      return EVHTP_RES_OK;
-    return EVHTP_RES_ERROR;
-  }
-
   static evhtp_res onConnectionFini(evhtp_connection_t *Raw, void *Argument) {
-    serverOf(Argument)->Connections_.erase(Raw);
+    HttpServer &Server = *serverOf(Argument);
+    if (HttpServer::Connection *State = find(Server, Raw))
+      Server.HeldBytes_ -= State->Charged_;
+    Server.Connections_.erase(Raw);
     return EVHTP_RES_OK;
   }
 
@@ -194,10 +210,12 @@
     HttpServer &Server = *serverOf(Argument);
     if (HttpServer::Connection *State = find(Server, Request->conn)) {
       State->IsReceiving_ = false;
-      State->IsInBody_ = false;
       State->IsAnswering_ = false;
-      State->ExpiresAt_ = monotonicNow() + Server.Options_.IdleTimeout_;
-      if (evbuffer_get_length(State->Pipelined_.get()) > 0)
+      State->Receiver_.reset();
+      State->IdleSince_ = monotonicNow();
+      State->ExpiresAt_ = State->IdleSince_ + Server.Options_.IdleTimeout_;
+      Server.charge(Request->conn, *State);
+      if (State->Receiver_.pipelinedBytes() > 0)
         bufferevent_trigger(Request->conn->bev, EV_READ,
                             BEV_TRIG_DEFER_CALLBACKS);
     }
@@ -211,68 +229,18 @@
   static void onRequest(evhtp_request_t *Request, void *Argument) {
     serverOf(Argument)->serve(Request);
   }
-
-  // Writes directly to the socket, bypassing libevhtp's buffers, since the
-  // connection is closed next.
-  static void sendAndClose(evhtp_connection_t *Raw, std::string_view Phrase,
-                           const HttpReply &Reply) {
-    std::string Text = "HTTP/1.1 " + std::to_string(Reply.Status_) + ' ';
-    Text.append(Phrase).append("\r\nConnection: close\r\n");
-    for (const auto &[Key, Value] : Reply.Headers_)
-      Text.append(Key).append(": ").append(Value).append("\r\n");
-    Text.append("Content-Length: ")
-        .append(std::to_string(Reply.Body_.size()))
-        .append("\r\n\r\n")
-        .append(Reply.Body_);
-    send(Raw->sock, Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-    shutdown(Raw->sock, SHUT_WR);
-  }
 };
 
-static std::string methodName(htp_method Method) {
-  switch (Method) {
-  case htp_method_GET:
-    return "GET";
-  case htp_method_POST:
-    return "POST";
-  case htp_method_PUT:
-    return "PUT";
-  case htp_method_DELETE:
-    return "DELETE";
-  default:
-    return "OTHER";
-  }
-}
-
-static int addHeader(evhtp_kv_t *Pair, void *Argument) {
-  static_cast<HttpHeaders *>(Argument)->emplace_back(
-      std::string(Pair->key, Pair->klen), std::string(Pair->val, Pair->vlen));
-  return 0;
-}
-
-static void sendReply(evhtp_request_t *Request, const HttpReply &Reply,
-                      bool IsClosing) {
-  for (const auto &[Key, Value] : Reply.Headers_)
-    evhtp_headers_add_header(
-        Request->headers_out,
-        evhtp_header_new(Key.c_str(), Value.c_str(), 1, 1));
-  if (IsClosing) {
-    evhtp_headers_add_header(Request->headers_out,
-                             evhtp_header_new("Connection", "close", 0, 0));
-    evhtp_request_set_keepalive(Request, 0);
-  }
-  evbuffer_add(Request->buffer_out, Reply.Body_.data(), Reply.Body_.size());
-  evhtp_send_reply(Request, Reply.Status_);
-}
-
 HttpServer::HttpServer(EventLoop &Loop, HttpServerOptions Options,
-                       Handler OnRequest, DisconnectHandler OnDisconnect)
+                       Handler OnRequest, DisconnectHandler OnDisconnect,
+                       CloseHandler OnClose)
     : Loop_(Loop), Options_(std::move(Options)),
-      OnRequest_(std::move(OnRequest)), OnDisconnect_(std::move(OnDisconnect)) {
-}
+      OnRequest_(std::move(OnRequest)), OnDisconnect_(std::move(OnDisconnect)),
+      OnClose_(std::move(OnClose)) {}
 
 HttpServer::~HttpServer() {
   OnDisconnect_ = nullptr;
+  OnClose_ = nullptr;
   if (Server_ == nullptr)
     return;
   std::vector<evhtp_connection_t *> Open;
@@ -315,19 +283,14 @@
   Connection *State = HttpServerHooks::find(*this, Request->conn);
   if (State != nullptr) {
     State->IsReceiving_ = false;
-    State->IsInBody_ = false;
     State->ExpiresAt_ = {INT64_MAX};
   }
-  if (State != nullptr && State->IsTooLarge_) {
-    sendReply(Request, Options_.TooLarge_, true);
-    return;
-  }
   HttpRequest Parsed{.Token_ = Token,
-                     .Method_ = methodName(evhtp_request_get_method(Request)),
+                     .Method_ = methodOf(Request),
                      .Path_ = Request->uri->path->full};
   if (Request->uri->query_raw != nullptr)
     Parsed.Query_ = reinterpret_cast<const char *>(Request->uri->query_raw);
-  evhtp_headers_for_each(Request->headers_in, addHeader, &Parsed.Headers_);
+  Parsed.Headers_ = headersOf(Request);
   Parsed.Body_.resize(evbuffer_get_length(Request->buffer_in));
   evbuffer_remove(Request->buffer_in, Parsed.Body_.data(), Parsed.Body_.size());
   Requests_[Token] = Request;
@@ -335,10 +298,8 @@
   evhtp_request_pause(Request);
   // A paused request is not read from, but only a read shows that the client
   // has left.
-  if (State != nullptr) {
-    State->IsAnswering_ = true;
-    bufferevent_enable(Request->conn->bev, EV_READ);
-  }
+  if (State != nullptr)
+    HttpServerHooks::updateReading(*this, Request->conn, *State);
   if (const auto Reply = OnRequest_(std::move(Parsed)))
     reply(Token, *Reply);
 }
@@ -355,12 +316,22 @@
   evhtp_request_t *Request = Found->second;
   Requests_.erase(Found);
   sendReply(Request, Reply, IsClosing_);
+  evhtp_connection_t *Raw = Request->conn;
+  if (Connection *State = HttpServerHooks::find(*this, Raw)) {
+    State->UnsentBytes_ = evbuffer_get_length(bufferevent_get_output(Raw->bev));
+    State->ExpiresAt_ = monotonicNow() + Options_.IdleTimeout_;
+    charge(Raw, *State);
+  }
   evhtp_request_resume(Request);
+  // Resuming enables reading, also while enough bytes wait.
+  if (Connection *State = HttpServerHooks::find(*this, Raw))
+    HttpServerHooks::updateReading(*this, Raw, *State);
 }
 
-void HttpServer::setLimits(std::size_t MaxBodyBytes,
+void HttpServer::setLimits(std::size_t MaxHeaderBytes, std::size_t MaxBodyBytes,
                            Milliseconds RequestTimeout,
                            Milliseconds IdleTimeout) {
+  Options_.MaxHeaderBytes_ = MaxHeaderBytes;
   Options_.MaxBodyBytes_ = MaxBodyBytes;
   Options_.RequestTimeout_ = RequestTimeout;
   Options_.IdleTimeout_ = IdleTimeout;
@@ -381,18 +352,4 @@
     evconnlistener_disable(Server_->server);
 }
 
-void HttpServer::closeExpired() {
-  const Milliseconds Now = monotonicNow();
-  std::vector<evhtp_connection_t *> Expired;
-  for (const auto &[Raw, State] : Connections_) {
-    if (State->ExpiresAt_ <= Now)
-      Expired.push_back(Raw);
-  }
-  for (evhtp_connection_t *Raw : Expired) {
-    if (Connections_[Raw]->IsReceiving_)
-      HttpServerHooks::sendAndClose(Raw, "Request Timeout", Options_.TooSlow_);
-    evhtp_connection_free(Raw);
-  }
-}
-
 } // namespace marjorambend
--- a/transport/marjorambend/src/Transport/SettingsReader.h
+++ b/transport/marjorambend/src/Transport/SettingsReader.h
@@ -29,11 +29,13 @@
 tl::expected<CommandLine, SettingsError> readSettings(int Count,
                                                       char **Arguments);
 
-/// \brief Reads the settings that apply on the users' platform, where the
-/// settings file gives all others: defaults, then environment, then flags.
-/// Other flags are invalid.
-tl::expected<SettingsT, SettingsError> readPlatformFlags(int Count,
-                                                         char **Arguments);
+/// \brief Reads the flags after `marjorambend platform`.
+///
+/// Only the settings named in \p Allowed are accepted, and no environment
+/// variables: the other settings are in the platform's settings file.
+tl::expected<SettingsT, SettingsError>
+readPlatformFlags(int Count, char **Arguments,
+                  const std::vector<std::string> &Allowed);
 
 /// \brief The text of --help.
 std::string settingsHelp();
--- a/transport/test/FleetCodecTests.cpp
+++ b/transport/test/FleetCodecTests.cpp
@@ -103,6 +103,9 @@
   STRCMP_EQUAL(
       "w1",
       roundTrip(PlaceRelease{1, 2, RunEnd::NotStarted, "w1"}).Worker_.c_str());
+  CHECK(roundTrip(CancelRequest{7, true}).IsForwarded_);
+  CHECK(roundTrip(CancelAnswered{7, CancelResult::NotFound}).Result_ ==
+        CancelResult::NotFound);
   LONGS_EQUAL(150, roundTrip(PlaceRelease{.RanPercent_ = 150}).RanPercent_);
   const PlaceAdopt Adoption = roundTrip(sampleAdoption());
   CHECK(Adoption.IsSuspect_);
@@ -113,6 +116,14 @@
   CHECK_FALSE(roundTrip(PlaceAdopt{}).IsSuspect_);
 }
 
+TEST(FleetMessageCoding, EvacuationsRoundTrip) {
+  const ConfigFreshness Got =
+      roundTrip(ConfigFreshness{{12}, 3, 9'000'000'000, {"north", "south"}});
+  LONGS_EQUAL(12, Got.Age_.Count_);
+  CHECK_EQUAL(9'000'000'000, Got.EvacuationsVersion_);
+  CHECK((Got.Evacuated_ == DataCentreNames{"north", "south"}));
+}
+
 TEST(FleetMessageCoding, RejectsTruncatedFrame) {
   const std::string Whole = encode(sampleNews());
   for (std::size_t Size = sizeof(uint32_t); Size < Whole.size(); ++Size)
--- a/transport/test/SettingsTests.cpp
+++ b/transport/test/SettingsTests.cpp
@@ -64,26 +64,40 @@
   CHECK(settingsHelp().find("--identity_window_ms") != std::string::npos);
 }
 
-// Guards against a flag of `marjorambend platform` that is ignored, or that
-// takes any value.
-TEST(SettingsReading, OnThePlatformHasFewFlags) {
-  const auto ReadFlags = [](std::vector<std::string> Words) {
-    Words.insert(Words.begin(), "platform");
+// `marjorambend platform` has its settings from the platform's file; a flag
+// that it would ignore, or an unknown policy, must not go unnoticed.
+TEST(SettingsReading, AfterPlatformAreOnlyTheAllowedFlags) {
+  const auto Read = [](std::vector<std::string> Given) {
+    Given.insert(Given.begin(), {"marjorambend", "platform"});
     std::vector<char *> Arguments;
-    for (std::string &Word : Words)
-      Arguments.push_back(Word.data());
+    for (std::string &One : Given)
+      Arguments.push_back(One.data());
     return readPlatformFlags(static_cast<int>(Arguments.size()),
-                             Arguments.data());
+                             Arguments.data(),
+                             {"admission_policy", "worker_choice"});
   };
-  STRCMP_EQUAL("fastest", ReadFlags({})->worker_choice.c_str());
   STRCMP_EQUAL(
-      "earliest_end",
-      ReadFlags({"--worker_choice=earliest_end"})->worker_choice.c_str());
-  const auto Wrong = ReadFlags({"--worker_choice=best", "--caller_port=80"});
+      "least_cost",
+      Read({"--admission_policy=least_cost"})->admission_policy.c_str());
+  const auto Unknown = Read({"--admission_policy", "cheapest"});
+  STRCMP_EQUAL("--admission_policy: \"cheapest\" is not one of "
+               "latest_start,least_cost",
+               Unknown.error().Problems_.front().c_str());
+  STRCMP_EQUAL("fastest", Read({})->worker_choice.c_str());
+  const auto Both =
+      Read({"--worker_choice=earliest_end", "--admission_policy=least_cost"});
+  STRCMP_EQUAL("earliest_end", Both->worker_choice.c_str());
+  STRCMP_EQUAL("least_cost", Both->admission_policy.c_str());
+  const auto Wrong = Read({"--worker_choice=best", "--caller_port=80"});
   CHECK_FALSE(Wrong.has_value());
   CHECK(isReported(
       Wrong.error(),
       "--worker_choice: \"best\" is not one of fastest,earliest_end"));
-  CHECK(isReported(Wrong.error(), "--caller_port=80: is not a flag"));
-  ReadFlags({"--worker_choice=fastest"});
+  CHECK(
+      isReported(Wrong.error(), "--caller_port=80: there is no such setting"));
+  Read({"--worker_choice=fastest", "--admission_policy=latest_start"});
+  CHECK_FALSE(Read({"--caller_port=8090"}));
+  STRCMP_EQUAL(
+      "latest_start",
+      Read({"--admission_policy=latest_start"})->admission_policy.c_str());
 }
