Review cancels with missing answers in one place

The loss of an instance and the end of the wait treated pending cancels by two copies of one loop: mark the result as uncertain, collect, review. One function does so now, and each caller gives its condition.

--- a/coordination/marjorambend/src/Fleet/Cancels.cpp
+++ b/coordination/marjorambend/src/Fleet/Cancels.cpp
@@ -8,6 +8,7 @@
 #include "marjorambend/src/Fleet/FleetStep.h"
 
 #include <utility>
+#include <vector>
 
 namespace marjorambend::internal {
 
@@ -97,10 +98,13 @@
   reviewCancel(Ctx, Given.Id_);
 }
 
-void removeInstanceFromCancels(FleetStepContext &Ctx, Incarnation Run) {
+// Leaves the result of the selected cancels uncertain: an answer is missing.
+// \p LosesAnswer removes the instances that are not awaited any more.
+template <typename Condition>
+static void loseAnswers(FleetStepContext &Ctx, Condition LosesAnswer) {
   std::vector<uint64_t> Affected;
   for (auto &[Id, Pending] : Ctx.State_.Cancels_) {
-    if (Pending.Awaited_.erase(Run) == 0)
+    if (!LosesAnswer(Pending))
       continue;
     Pending.IsUncertain_ = true;
     Affected.push_back(Id);
@@ -109,17 +113,19 @@
     reviewCancel(Ctx, Id);
 }
 
+void removeInstanceFromCancels(FleetStepContext &Ctx, Incarnation Run) {
+  loseAnswers(Ctx, [Run](PendingCancel &Pending) {
+    return Pending.Awaited_.erase(Run) > 0;
+  });
+}
+
 void expireCancels(FleetStepContext &Ctx) {
-  std::vector<uint64_t> Expired;
-  for (auto &[Id, Pending] : Ctx.State_.Cancels_) {
-    if (Ctx.Now_ < Pending.Until_)
-      continue;
+  loseAnswers(Ctx, [Now = Ctx.Now_](PendingCancel &Pending) {
+    if (Now < Pending.Until_)
+      return false;
     Pending.Awaited_.clear();
-    Pending.IsUncertain_ = true;
-    Expired.push_back(Id);
-  }
-  for (const uint64_t Id : Expired)
-    reviewCancel(Ctx, Id);
+    return true;
+  });
 }
 
 } // namespace marjorambend::internal
