Count caller connections closed with unread input

An expired idle connection, a budget, a stop and a caller that leaves look alike.

Change: whatever frees a connection, bytes that have arrived and that no callback has handled are noted as input_unread, in the log and as callers_closed_input_unread_total, unless the peer closed it or the request was refused. A budget or a timeout notes its own cause just before.

--- a/daemon/CallerClosures.cpp
+++ b/daemon/CallerClosures.cpp
@@ -20,6 +20,8 @@
     return Counter::CallersClosedUnread;
   case CloseCause::TooManyBytes:
     return Counter::CallersClosedBytes;
+  case CloseCause::InputUnread:
+    return Counter::CallersClosedInput;
   case CloseCause::TooManyConnections:
     break;
   }
@@ -28,8 +30,14 @@
 
 std::string_view nameOf(CloseCause Cause) {
   static constexpr std::array<std::string_view, CloseCauses> Names{
-      "header_too_large", "body_too_large", "malformed",           "too_slow",
-      "answer_unread",    "too_many_bytes", "too_many_connections"};
+      "header_too_large",
+      "body_too_large",
+      "malformed",
+      "too_slow",
+      "answer_unread",
+      "too_many_bytes",
+      "too_many_connections",
+      "input_unread"};
   return Names[static_cast<std::size_t>(Cause)];
 }
 
--- a/transport/marjorambend/src/Transport/HttpConnection.cpp
+++ b/transport/marjorambend/src/Transport/HttpConnection.cpp
@@ -43,6 +43,15 @@
   State.Charged_ = Bytes;
 }
 
+bool hasUnreadInput(const evhtp_connection_t *Raw) {
+  if (Raw->bev == nullptr)
+    return false;
+  if (evbuffer_get_length(bufferevent_get_input(Raw->bev)) > 0)
+    return true;
+  char Byte = 0;
+  return recv(Raw->sock, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 HttpServerLoad HttpServer::load() const {
   HttpServerLoad Load{.Bytes_ = HeldBytes_};
   for (const auto &[Raw, State] : Connections_) {
--- a/transport/marjorambend/src/Transport/HttpConnection.h
+++ b/transport/marjorambend/src/Transport/HttpConnection.h
@@ -19,6 +19,7 @@
   bool IsAnswering_ = false; ///< A request is complete and not answered yet.
   bool IsRefused_ = false;   ///< All further bytes are discarded.
   bool IsPaused_ = false;    ///< Not read from until the request is answered.
+  bool HasPeerClosed_ = false;
   std::size_t DiscardedBytes_ = 0;
   std::size_t UnsentBytes_ = 0; ///< Of the answer, at the last check.
   RequestReceiver Receiver_;
@@ -33,6 +34,10 @@
   std::size_t heldBytes(const evhtp_connection *Raw) const;
 };
 
+/// \brief Whether bytes have arrived that no callback has handled yet: in the
+/// socket, or in the buffer that precedes libevhtp's deferred callback.
+bool hasUnreadInput(const evhtp_connection *Raw);
+
 /// \brief Name of a request's method.
 std::string methodOf(evhtp_request *Request);
 
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -140,6 +140,7 @@
   static void refuse(HttpServer &Server, evhtp_connection_t *Raw,
                      HttpServer::Connection &State, CloseCause Cause) {
     Server.noteClosed(Cause);
+    State.IsRefused_ = true;
     const bool IsHuge = State.Receiver_.announces(
         Server.Options_.MaxBodyBytes_ * DiscardFactor);
     if (Cause == CloseCause::BodyTooLarge)
@@ -155,7 +156,6 @@
     evbuffer *Input = bufferevent_get_input(Raw->bev);
     evbuffer_drain(Input, evbuffer_get_length(Input));
     State.Receiver_.reset();
-    State.IsRefused_ = true;
     State.IsReceiving_ = false;
     State.ExpiresAt_ = monotonicNow() + RefusalTime;
     Server.charge(Raw, State);
@@ -166,12 +166,13 @@
   static void onEvent(bufferevent *Buffer, short What, void *Argument) {
     auto *Raw = static_cast<evhtp_connection_t *>(Argument);
     HttpServer &Server = *serverOf(Raw->htp->arg);
-    const HttpServer::Connection *State = find(Server, Raw);
+    HttpServer::Connection *State = find(Server, Raw);
     if (State == nullptr)
       return;
     evhtp_request_t *Open = Raw->request;
     const uint64_t Token = Server.tokenOf(Open);
     const bool IsClosed = (What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+    State->HasPeerClosed_ = State->HasPeerClosed_ || IsClosed;
     State->OnEvent_(Buffer, What, Argument);
     if (!IsClosed || Server.Requests_.erase(Token) == 0)
       return;
@@ -200,8 +201,11 @@
 
   static evhtp_res onConnectionFini(evhtp_connection_t *Raw, void *Argument) {
     HttpServer &Server = *serverOf(Argument);
-    if (HttpServer::Connection *State = find(Server, Raw))
+    if (HttpServer::Connection *State = find(Server, Raw)) {
       Server.HeldBytes_ -= State->Charged_;
+      if (!State->HasPeerClosed_ && !State->IsRefused_ && hasUnreadInput(Raw))
+        Server.noteClosed(CloseCause::InputUnread);
+    }
     Server.Connections_.erase(Raw);
     return EVHTP_RES_OK;
   }
--- a/transport/marjorambend/src/Transport/RequestReceiver.h
+++ b/transport/marjorambend/src/Transport/RequestReceiver.h
@@ -22,9 +22,10 @@
   TooSlow,      ///< A request was not complete in time.
   Unread,       ///< A response was not read in time.
   TooManyBytes, ///< The budget for bytes was exceeded.
-  TooManyConnections
+  TooManyConnections,
+  InputUnread ///< Bytes of a request had arrived and were not read.
 };
-inline constexpr std::size_t CloseCauses = 7;
+inline constexpr std::size_t CloseCauses = 8;
 
 /// \brief Frees a buffer of libevent.
 struct EvbufferDeleter {
