Read what has arrived before an incomplete request expires

What callers saw: 408, or an ended connection, for a request that had arrived in time.

A new connection counts as receiving from its acceptance on, and a partly received request has a deadline; after a long callback the timer that closes both runs before the input is read that arrived meanwhile.

Change: one rule for both, Connection::mayExpire().

--- a/transport/marjorambend/src/Transport/HttpConnection.cpp
+++ b/transport/marjorambend/src/Transport/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <evhtp/evhtp.h>
 #include <sys/socket.h>
+#include <utility>
 #include <vector>
 
 namespace marjorambend {
@@ -54,6 +55,12 @@
   return recv(Raw->sock, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool HttpServer::Connection::mayExpire(const evhtp_connection_t *Raw) {
+  if (IsAnswering_ || IsRefused_ || !hasUnreadInput(Raw))
+    return true;
+  return IsReceiving_ && std::exchange(IsExpiryDelayed_, true);
+}
+
 HttpServerLoad HttpServer::load() const {
   HttpServerLoad Load{.Bytes_ = HeldBytes_};
   for (const auto &[Raw, State] : Connections_) {
@@ -72,14 +79,11 @@
     OnClose_(Cause);
 }
 
-// After a long callback this timer may run before requests are read that
-// arrived in time, so an idle connection is closed only without unread input.
 void HttpServer::closeExpired() {
   const Milliseconds Now = monotonicNow();
   std::vector<evhtp_connection_t *> Expired;
   for (const auto &[Raw, State] : Connections_) {
-    if (State->expiresAt(Options_, Raw) <= Now &&
-        !(State->isIdle() && State->hasUnreadInput(Raw)))
+    if (State->expiresAt(Options_, Raw) <= Now && State->mayExpire(Raw))
       Expired.push_back(Raw);
   }
   for (evhtp_connection_t *Raw : Expired) {
--- a/transport/marjorambend/src/Transport/HttpConnection.h
+++ b/transport/marjorambend/src/Transport/HttpConnection.h
@@ -20,6 +20,7 @@
   bool IsRefused_ = false;   ///< All further bytes are discarded.
   bool IsPaused_ = false;    ///< Not read from until the request is answered.
   bool HasPeerClosed_ = false;
+  bool IsExpiryDelayed_ = false; ///< Of this request, for its unread input.
   std::size_t DiscardedBytes_ = 0;
   std::size_t UnsentBytes_ = 0; ///< Of the answer, at the last check.
   RequestReceiver Receiver_;
@@ -36,8 +37,12 @@
   /// socket, in the buffer that precedes libevhtp's deferred callback, or
   /// behind the previous request.
   bool hasUnreadInput(const evhtp_connection *Raw) const;
-  /// \brief Whether no request is open or partly received.
-  bool isIdle() const { return !IsReceiving_ && !IsAnswering_ && !IsRefused_; }
+  /// \brief Whether an expired connection may be closed now.
+  ///
+  /// After a long callback, timers run before the input is read that arrived
+  /// meanwhile; it is read first. An incomplete request is delayed only once,
+  /// so that input that never completes it does not keep it open.
+  bool mayExpire(const evhtp_connection *Raw);
 };
 
 /// \brief Name of a request's method.
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -216,6 +216,7 @@
     if (HttpServer::Connection *State = find(Server, Request->conn)) {
       State->IsReceiving_ = false;
       State->IsAnswering_ = false;
+      State->IsExpiryDelayed_ = false;
       State->Receiver_.reset();
       State->IdleSince_ = monotonicNow();
       State->ExpiresAt_ = State->IdleSince_ + Server.Options_.IdleTimeout_;
--- a/transport/test/BusyLoopTests.cpp
+++ b/transport/test/BusyLoopTests.cpp
@@ -62,10 +62,11 @@
     runFor(Before + Idle * 4);
   }
 
-  std::size_t answered() {
+  std::size_t answered(std::string_view Status = "200") {
+    const std::string Start = "HTTP/1.1 " + std::string(Status);
     std::size_t Count = 0;
     for (const RawConnection &One : Callers_)
-      Count += One.read().starts_with("HTTP/1.1 200") ? 1 : 0;
+      Count += One.read().starts_with(Start) ? 1 : 0;
     return Count;
   }
 };
@@ -89,3 +90,27 @@
   LONGS_EQUAL(Callers, answered());
   LONGS_EQUAL(0, Server_.load().Idle_);
 }
+
+// Guards against a connection that expires before its first request is read.
+TEST(BusyLoop, AnswersFirstRequestsOfConnections) {
+  runThenBlock(Milliseconds{20}, Request);
+  LONGS_EQUAL(Callers, answered());
+  LONGS_EQUAL(0, ClosedOverInput_);
+}
+
+// Guards against 408 for a request that arrived in time.
+TEST(BusyLoop, AnswersRequestsWhoseRestHasArrived) {
+  const std::size_t Half = Request.size() / 2;
+  sendAll(Request.substr(0, Half));
+  runThenBlock(Milliseconds{20}, Request.substr(Half));
+  LONGS_EQUAL(Callers, answered());
+  LONGS_EQUAL(0, ClosedOverInput_);
+}
+
+// Guards against clients that extend the time with a byte now and then.
+TEST(BusyLoop, StillRefusesRequestsThatStayIncomplete) {
+  sendAll(Request.substr(0, 10));
+  runThenBlock(Milliseconds{20}, Request.substr(10, 5));
+  LONGS_EQUAL(Callers, answered("408"));
+  LONGS_EQUAL(0, Served_);
+}
