Do not exit while requests stand unread

What callers saw: none of the users' records shows it; found by looking for the cause of the lost requests on related paths. A request that arrives on an open connection shortly before the end of a planned stop gets no answer.

The timer that ends a stopping process counts open requests only; after a long callback, or a time without processor, it runs before the requests are read that arrived meanwhile, and the exit resets their connections.

Change: HttpServer::hasUnreadInput() tells of bytes and connections that have arrived and are not handled, and both programs go on while there are any; the end of the grace period bounds this as before.

--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -371,7 +371,8 @@
   if (Since.Count_ < Settings_.stop_delay_ms && !IsForced_)
     return;
   CallerServer_.stopAccepting();
-  const bool IsDone = isIdle(State_) && CallerServer_.openRequests() == 0;
+  const bool IsDone = isIdle(State_) && CallerServer_.openRequests() == 0 &&
+                      !CallerServer_.hasUnreadInput();
   if (!IsDone && !IsForced_)
     return;
   spdlog::info("stopped");
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -393,7 +393,7 @@
   const Milliseconds Bound = Settings_.StopGrace_ - StopMargin;
   const bool IsIdle = Since >= State_.Options_.StopGracePeriod_ &&
                       isIdle(State_) && Callers_.openRequests() == 0 &&
-                      !Callers_.hasUnsentBytes();
+                      !Callers_.hasUnsentBytes() && !Callers_.hasUnreadInput();
   if (!IsIdle)
     IdleSince_.reset();
   else if (!IdleSince_)
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <evhtp/evhtp.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <vector>
 
@@ -352,8 +353,25 @@
   return false;
 }
 
+bool HttpServer::hasUnreadInput() const {
+  if (IsAccepting_ && Server_ != nullptr && Server_->server != nullptr) {
+    pollfd Listener{.fd = evconnlistener_get_fd(Server_->server),
+                    .events = POLLIN,
+                    .revents = 0};
+    if (poll(&Listener, 1, 0) > 0)
+      return true;
+  }
+  return std::any_of(Connections_.begin(), Connections_.end(),
+                     [](const auto &Entry) {
+                       const auto &[Raw, State] = Entry;
+                       return !State->IsAnswering_ && !State->IsRefused_ &&
+                              State->hasUnreadInput(Raw);
+                     });
+}
+
 void HttpServer::stopAccepting() {
   IsClosing_ = true;
+  IsAccepting_ = false;
   if (Server_ != nullptr && Server_->server != nullptr)
     evconnlistener_disable(Server_->server);
 }
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -113,6 +113,10 @@
   /// \brief Whether bytes of an answer have not been passed to the kernel yet.
   bool hasUnsentBytes() const;
 
+  /// \brief Whether a connection, or bytes of a request, have arrived and are
+  /// not handled yet. An exit of the process would lose them.
+  bool hasUnreadInput() const;
+
   HttpServerLoad load() const;
 
   struct Connection;
@@ -142,6 +146,7 @@
   std::unique_ptr<Timer> ExpiryTimer_;
   uint64_t NextToken_ = 1;
   bool IsClosing_ = false;
+  bool IsAccepting_ = true;
 };
 
 } // namespace marjorambend
--- a/transport/test/CallerLoad.cpp
+++ b/transport/test/CallerLoad.cpp
@@ -81,6 +81,8 @@
   return Info.si_pid == 0;
 }
 
+void InstanceProcess::signal(int Number) const { kill(Process_, Number); }
+
 std::size_t InstanceProcess::peakKb() const {
   std::ifstream File("/proc/" + std::to_string(Process_) + "/status");
   for (std::string Name; File >> Name;) {
--- a/transport/test/CallerLoad.h
+++ b/transport/test/CallerLoad.h
@@ -26,6 +26,7 @@
   ~InstanceProcess();
 
   bool isRunning() const;
+  void signal(int Number) const;
   /// \brief Peak resident memory (VmHWM) in KB.
   std::size_t peakKb() const;
   std::size_t openDescriptors() const;
