Do not close connections silently over unread requests for the budget

What callers saw: none of the users' records shows it; found by looking for the cause of the lost requests on related paths. When the connections or bytes of callers exceed their budget, some end over a request that had arrived, without an answer, while idle ones stay open.

Cause: the same. An idle connection is closed for the budget as one that holds nothing, although its request may stand unread.

Change: chooseClosed() puts connections with an unread request after all others, and one that has to be closed is refused with 503 and Retry-After. What has arrived is read before such a close, so that no reset destroys the answer.

Tests: BusyLoop.ClosesIdleConnectionsBeforeThoseWithRequests failed before (18 of 50 requests answered, 50 connections idle), RefusesRequestsThatExceedTheBudget too (no refusal); both pass, and CallerBudgets.CloseUnreadRequestsLast. transport_tests: 82 pass; untrusted callers ManyConnections, AllTogether, BodiesThatStopShort and LargeBodiesSentWhole pass.

--- a/transport/marjorambend/src/Transport/CallerBudget.cpp
+++ b/transport/marjorambend/src/Transport/CallerBudget.cpp
@@ -49,6 +49,8 @@
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [&](const HeldConnection *A, const HeldConnection *B) {
+              if (A->HasUnreadRequest_ != B->HasUnreadRequest_)
+                return B->HasUnreadRequest_;
               return rankOf(*A, Now) > rankOf(*B, Now);
             });
   std::vector<uint64_t> Closed;
--- a/transport/marjorambend/src/Transport/CallerBudget.h
+++ b/transport/marjorambend/src/Transport/CallerBudget.h
@@ -28,6 +28,8 @@
   std::size_t Bytes_ = 0;
   Milliseconds Since_;          ///< Accepted, or last request completed.
   bool HasOpenRequest_ = false; ///< A complete request; its job may have begun.
+  /// Holds nothing of a request, but bytes have arrived that are not read yet.
+  bool HasUnreadRequest_ = false;
 };
 
 /// \brief Bounds for a machine with this memory and these descriptors; a value
@@ -43,7 +45,8 @@
 ///
 /// Load pattern: many clients send most of a request and stop. Those that have
 /// held the most for the longest time without a complete request are closed
-/// first; one with an open request is never closed.
+/// first, those with an unread request last; one with an open request is never
+/// closed.
 std::vector<uint64_t> chooseClosed(std::span<const HeldConnection> Held,
                                    Excess Excess, Milliseconds Now);
 
--- a/transport/marjorambend/src/Transport/HttpConnection.cpp
+++ b/transport/marjorambend/src/Transport/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "marjorambend/src/Transport/HttpConnection.h"
 
+#include <array>
 #include <event2/buffer.h>
 #include <evhtp/evhtp.h>
 #include <sys/socket.h>
@@ -12,6 +13,9 @@
 // 5.6 KB were measured.
 static constexpr std::size_t ConnectionBytes = 6U << 10U;
 
+// A whole receive buffer of a socket (32 KB, doubled by the kernel).
+static constexpr std::size_t DrainedBytes = 64U << 10U;
+
 Milliseconds HttpServer::Connection::expiresAt(const HttpServerOptions &Options,
                                                const evhtp_connection_t *Raw) {
   if (IsReceiving_)
@@ -109,8 +113,8 @@
   return false;
 }
 
-// Only requests whose header is complete are answered: the client of an
-// incomplete header may not have sent a request.
+// Requests whose header is complete are answered, and those that are not read
+// yet: the client of an incomplete header may not have sent a request.
 void HttpServer::closeExcess(std::size_t NewConnections) {
   const Excess Found = excessOver(Options_.Budget_, HeldBytes_,
                                   Connections_.size() + NewConnections);
@@ -119,16 +123,23 @@
   std::vector<HeldConnection> Held;
   std::vector<evhtp_connection_t *> Order;
   for (const auto &[Raw, State] : Connections_) {
-    Held.push_back({.Id_ = Order.size(),
-                    .Bytes_ = State->Charged_,
-                    .Since_ = State->IdleSince_,
-                    .HasOpenRequest_ = State->IsAnswering_});
+    const bool HoldsNothing =
+        !State->IsAnswering_ && State->Charged_ <= ConnectionBytes;
+    Held.push_back(
+        {.Id_ = Order.size(),
+         .Bytes_ = State->Charged_,
+         .Since_ = State->IdleSince_,
+         .HasOpenRequest_ = State->IsAnswering_,
+         .HasUnreadRequest_ = HoldsNothing && State->hasUnreadInput(Raw)});
     Order.push_back(Raw);
   }
   for (const uint64_t Id : chooseClosed(Held, Found, monotonicNow())) {
     evhtp_connection_t *Raw = Order[Id];
-    if (Connections_[Raw]->Receiver_.isInBody())
+    Connection &State = *Connections_[Raw];
+    if (State.Receiver_.isInBody() || Held[Id].HasUnreadRequest_) {
       sendAndClose(Raw, "Service Unavailable", Options_.Overloaded_);
+      State.IsRefused_ = true;
+    }
     noteClosed(Found.Bytes_ > 0 ? CloseCause::TooManyBytes
                                 : CloseCause::TooManyConnections);
     evhtp_connection_free(Raw);
@@ -189,6 +200,10 @@
       .append(Reply.Body_);
   send(Raw->sock, Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
   shutdown(Raw->sock, SHUT_WR);
+  // Closing a socket with unread bytes resets the connection, and the client
+  // may then not read the answer.
+  std::array<char, DrainedBytes> Unread;
+  recv(Raw->sock, Unread.data(), Unread.size(), MSG_DONTWAIT);
 }
 
 } // namespace marjorambend
--- a/transport/test/BusyLoopTests.cpp
+++ b/transport/test/BusyLoopTests.cpp
@@ -12,6 +12,7 @@
 // More than the events that one poll of the loop returns, so that some requests
 // are still in their sockets when the timers run.
 static constexpr std::size_t Callers = 100;
+static constexpr std::size_t MaxConnections = 60;
 static constexpr Milliseconds Idle{200};
 
 static const std::string Request =
@@ -43,9 +44,27 @@
       Callers_.emplace_back(Server_.port());
   }
 
-  void sendAll(const std::string &Text) {
-    for (const RawConnection &One : Callers_)
-      One.send(Text);
+  void sendAll(const std::string &Text) { sendFrom(Callers, Text); }
+
+  void sendFrom(std::size_t Count, const std::string &Text) {
+    for (std::size_t Number = 0; Number < Count; ++Number)
+      Callers_[Number].send(Text);
+  }
+
+  // A new connection arrives together with the requests of some callers, while
+  // no more than MaxConnections are allowed.
+  void exceedBudget(std::size_t Senders) {
+    sendAll(Request);
+    runFor(Milliseconds{100});
+    LONGS_EQUAL(Callers, answered());
+    std::optional<RawConnection> New;
+    const Timer Block(Loop_, Milliseconds{20}, Timer::Mode::Once, [&] {
+      Server_.setBudget({.MaxConnections_ = MaxConnections});
+      sendFrom(Senders, Request);
+      New.emplace(Server_.port());
+      usleep(10'000);
+    });
+    runFor(Milliseconds{150});
   }
 
   void runFor(Milliseconds Time) {
@@ -114,3 +133,26 @@
   LONGS_EQUAL(Callers, answered("408"));
   LONGS_EQUAL(0, Served_);
 }
+
+// Guards against closing a connection over a request while others are idle.
+TEST(BusyLoop, ClosesIdleConnectionsBeforeThoseWithRequests) {
+  exceedBudget(Callers / 2);
+  LONGS_EQUAL(Callers / 2, answered());
+  LONGS_EQUAL(0, ClosedOverInput_);
+}
+
+// Guards against a request that gets neither an answer nor a refusal, since its
+// connection is closed for another one.
+TEST(BusyLoop, RefusesRequestsThatExceedTheBudget) {
+  exceedBudget(Callers);
+  std::size_t Served = 0;
+  std::size_t Refused = 0;
+  for (const RawConnection &One : Callers_) {
+    const std::string Text = One.read();
+    Served += Text.starts_with("HTTP/1.1 200") ? 1 : 0;
+    Refused += Text.starts_with("HTTP/1.1 503") ? 1 : 0;
+  }
+  CHECK(Refused > 0);
+  LONGS_EQUAL(Callers, Served + Refused);
+  LONGS_EQUAL(Callers + Served, Served_);
+}
--- a/transport/test/CallerBudgetTests.cpp
+++ b/transport/test/CallerBudgetTests.cpp
@@ -34,6 +34,17 @@
         std::vector<uint64_t>({2}));
 }
 
+// Guards against closing a connection over a request that has arrived while
+// others are idle.
+TEST(CallerBudgets, CloseUnreadRequestsLast) {
+  const std::vector<HeldConnection> Held{
+      {.Id_ = 1, .Bytes_ = 6'000, .Since_ = {1'000}, .HasUnreadRequest_ = true},
+      {.Id_ = 2, .Bytes_ = 6'000, .Since_ = {9'900}},
+      {.Id_ = 3, .Bytes_ = 200'000, .Since_ = {9'000}}};
+  CHECK(close(Held, {.Connections_ = 2}) == std::vector<uint64_t>({3, 2}));
+  CHECK(close(Held, {.Connections_ = 3}) == std::vector<uint64_t>({3, 2, 1}));
+}
+
 // Guards against a budget that a single request within the limits exceeds.
 TEST(CallerBudgets, FollowTheMachine) {
   const CallerBudget Smallest = budgetOf(120 * Mb, 3'075);
