Encode the key from which the next page of rows is read

What operators of similar systems met: machines that stop following the list.

Cause, here: the next page is asked for by the last key of the page before, which went into the query as it was. A key of another writer with a space, a line break, & or # asks for something else, or for nothing that HTTP knows, and the list is not read until the row is gone.

Change: the key is percent-encoded by libevent. Slashes stay, as RFC 3986 allows, so requests after this project's own keys have not changed.

--- a/transport/marjorambend/src/Transport/HttpTypes.cpp
+++ b/transport/marjorambend/src/Transport/HttpTypes.cpp
@@ -1,5 +1,8 @@
 #include "marjorambend/src/Transport/HttpTypes.h"
 
+#include <cstdlib>
+#include <event2/http.h>
+#include <memory>
 #include <strings.h>
 
 namespace marjorambend {
@@ -28,6 +31,17 @@
   return {};
 }
 
+std::string encodeQueryValue(std::string_view Text) {
+  static constexpr std::string_view Slash = "%2F";
+  const std::unique_ptr<char, decltype(&std::free)> Bytes(
+      evhttp_uriencode(Text.data(), static_cast<ev_ssize_t>(Text.size()), 0),
+      &std::free);
+  std::string Encoded = Bytes.get();
+  for (std::size_t At = 0; (At = Encoded.find(Slash, At)) != std::string::npos;)
+    Encoded.replace(At, Slash.size(), "/");
+  return Encoded;
+}
+
 HttpReply jsonReply(uint16_t Status, std::string Body) {
   return {.Status_ = Status,
           .Headers_ = {{"Content-Type", "application/json"}},
--- a/transport/marjorambend/src/Transport/HttpTypes.h
+++ b/transport/marjorambend/src/Transport/HttpTypes.h
@@ -25,6 +25,10 @@
 /// \brief The value of a query parameter, or an empty string.
 std::string queryValue(std::string_view Query, std::string_view Name);
 
+/// \brief Percent-encodes a text as a value in a query (RFC 3986); slashes are
+/// allowed there and stay.
+std::string encodeQueryValue(std::string_view Text);
+
 /// \brief A response with a JSON body.
 HttpReply jsonReply(uint16_t Status, std::string Body);
 
