Decode large configurations in steps

What callers saw: while a configuration of thousands of routes comes into force, over a tenth of their jobs fail with 504, "the holder of its worker is lost".

Cause: decoding 4,245 routes took one callback, during which a machine with 0.09 of a core sent no heartbeat for 435 to 460 ms (median of the longest gap between its log lines in the second before). Other instances end a session after 450 ms.

Change: ConfigDecoder parses a text above 64 KB in one step and decodes 500 routes in each of the next, with a turn of the loop between; a text that still waits is replaced by a newer one.

--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -78,6 +78,7 @@
   Milliseconds ListNewsAt_;       ///< When another reader last sent the list.
   Milliseconds ListReadAt_;       ///< When this instance last read it.
   Milliseconds ConfigNewsAt_;     ///< When a reader last matched the store.
+  uint64_t DecodingConfig_ = 0;   ///< Newest version sent by another instance.
   Milliseconds ConfigReadAt_;     ///< When this instance last did so.
   Evacuations Evacuations_; ///< Of the whole fleet, as distributed with that.
 
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -77,8 +77,11 @@
 }
 
 void applyConfigNews(FleetStepContext &Ctx, const ConfigNews &News) {
-  if (News.Version_ > Ctx.State_.Config_.Version_)
-    Ctx.Out_.push_back(DecodeConfigText{News.Text_});
+  FleetInstance &State = Ctx.State_;
+  if (News.Version_ <= State.Config_.Version_)
+    return;
+  State.DecodingConfig_ = News.Version_;
+  Ctx.Out_.push_back(DecodeConfigText{News.Text_});
 }
 
 static ConfigFreshness describeConfig(const FleetInstance &State,
@@ -146,10 +149,11 @@
   const bool KnowsEvacuations =
       Evacuations > 0 || State.Evacuations_.Version_ == 0;
   // A configuration that the reader sent before the session began has been
-  // missed here; it has to be read from the store.
+  // missed here; it has to be read from the store. One that is being decoded
+  // will be known soon.
   if (Given.Version_ <= State.Config_.Version_ && KnowsEvacuations)
     State.ConfigNewsAt_ = std::max(State.ConfigNewsAt_, Ctx.Now_ - Given.Age_);
-  else
+  else if (Given.Version_ > State.DecodingConfig_ || !KnowsEvacuations)
     State.ConfigNewsAt_ = {};
 }
 
--- a/coordination/test/Fleet/NewsTests.cpp
+++ b/coordination/test/Fleet/NewsTests.cpp
@@ -83,6 +83,18 @@
   CHECK(shouldFollowConfig(Other_.State_, Other_.Now_));
 }
 
+// Guards against each instance reading a large configuration from the store
+// while it decodes what the reader has sent.
+TEST(TheReaderOfADataCentre, IsTrustedWhileItsConfigurationIsDecoded) {
+  Reader_.handle(ConfigConfirmed{});
+  deliver(Reader_.handle(WorkersRead{{InstanceFixture::worker()}}));
+  deliver(Reader_.handle(ConfigRead{
+      .Config_ = {.Version_ = 9}, .Text_ = "text", .IsFromStore_ = true}));
+  deliver(Reader_.handle(WorkersRead{{InstanceFixture::worker()}}));
+  CHECK_FALSE(shouldFollowConfig(Other_.State_, Other_.Now_));
+  CHECK(shouldFollowConfig(Other_.State_, Other_.Now_ + Milliseconds{1'300}));
+}
+
 TEST(TheReaderOfADataCentre, NeverBringsAnOlderConfiguration) {
   Other_.handle(ConfigRead{.Config_ = {.Version_ = 5}});
   Other_.handle(ConfigRead{.Config_ = {.Version_ = 4}, .IsFromStore_ = true});
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -91,13 +91,7 @@
     D_.Links_.send(A.To_, A.Message_);
   }
   void operator()(const DecodeConfigText &A) const {
-    auto Config = decodeConfig(A.Text_);
-    if (!Config) {
-      D_.logLine("config_unreadable", {{"from", "instance"}});
-      return;
-    }
-    D_.applyLimits(Config->Limits_);
-    D_.handle(ConfigRead{.Config_ = std::move(Config->Fleet_)});
+    D_.PeerConfigs_.decode(A.Text_);
   }
   void operator()(const LinkInstances &A) const {
     std::set<Endpoint> Requested;
@@ -189,6 +183,10 @@
               .FollowsEvacuations_ = Settings.FollowsEvacuations_,
               .Crashes_ = {.Retention_ = State_.Options_.Crashes_.Retention_}},
              storeEvents()),
+      PeerConfigs_(Loop, {},
+                   [this](std::optional<DecodedConfig> Config) {
+                     onPeerConfig(std::move(Config));
+                   }),
       Callers_(
           Loop,
           listenOn(Settings.Callers_,
@@ -240,6 +238,15 @@
                      Limits.HeaderTimeout_, Limits.IdleTimeout_);
 }
 
+void FleetDaemon::onPeerConfig(std::optional<DecodedConfig> Config) {
+  if (!Config) {
+    logLine("config_unreadable", {{"from", "instance"}});
+    return;
+  }
+  applyLimits(Config->Limits_);
+  handle(ConfigRead{.Config_ = std::move(Config->Fleet_)});
+}
+
 void FleetDaemon::handle(FleetEvent Incoming) {
   Events_.push_back(std::move(Incoming));
   if (IsHandling_)
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -56,6 +56,7 @@
   void checkStop();
   void addSeeds(const platform::PlatformSettings &From);
   void applyLimits(const platform::RequestLimits &Limits);
+  void onPeerConfig(std::optional<platform::DecodedConfig> Config);
   void logLine(std::string_view What, std::vector<LogField> Fields);
   platform::StoreWatchEvents storeEvents();
 
@@ -69,6 +70,7 @@
   SessionLinks Links_;
   platform::WorkerCalls Workers_;
   platform::StoreWatch Store_;
+  platform::ConfigDecoder PeerConfigs_; ///< Sent by other instances.
   HttpServer Callers_;
   CallerClosures Closures_;
   HttpServer Readiness_;
