Count bytes of a message as a sign of life of its sender

What callers saw: the same failures with 504 beside a large configuration, also where no instance stood still.

Cause: the reader of a data centre sends a configuration as one message, 0.9 MB for 4,245 routes. A link of 19 Mbit/s takes 0.4 s for it, more beside the same from the store, and the heartbeats wait behind it. A session heard only complete messages, so the receiver ended it after 450 ms in the midst of the message, and everything that the strongest instance placed or held was given up there.

Change: received bytes of the session's connection count as heard. What depends on an instance's own word, the leases of its tasks' runs and its part as placer, is measured by its messages as before.

Test: InstanceLinks.StayUpWhileALargeMessageArrives, 1.5 MB through a relay of 1 MB/s, failed before and passes.

--- a/transport/marjorambend/src/Transport/SessionLinks.cpp
+++ b/transport/marjorambend/src/Transport/SessionLinks.cpp
@@ -199,6 +199,11 @@
 void SessionLinks::receive(Connection &From) {
   evbuffer *Input = bufferevent_get_input(From.Buffer_);
   From.HeardAt_ = monotonicNow();
+  // A large message takes longer to arrive on a slow link than a session may be
+  // silent, and delays what was sent behind it.
+  const auto Known = From.Run_ ? Sessions_.find(*From.Run_) : Sessions_.end();
+  if (Known != Sessions_.end() && Known->second.Active_ == &From)
+    Known->second.Session_.HeardAt_ = From.HeardAt_;
   while (evbuffer_get_length(Input) >= LengthBytes) {
     uint32_t Length = 0;
     evbuffer_copyout(Input, &Length, LengthBytes);
--- a/transport/test/SessionTests.cpp
+++ b/transport/test/SessionTests.cpp
@@ -1,5 +1,7 @@
 #include "TestMain.h"
 
+#include "SlowRelay.h"
+
 #include <marjorambend/Transport>
 
 using namespace marjorambend;
@@ -192,3 +194,21 @@
   CHECK(A_.Up_.empty());
   runUntil([&] { return A_.Up_.size() == 1; });
 }
+
+// Guards against an instance that is taken for lost while it sends a large
+// configuration to one on a slow link.
+TEST(InstanceLinks, StayUpWhileALargeMessageArrives) {
+  test::SlowRelay Link(Loop_, PortB_, 1'000'000);
+  A_.Links_->setPeerEndpoints({{"127.0.0.1", Link.port()}});
+  runUntil([&] { return A_.Up_.size() == 1 && B_.Up_.size() == 1; });
+  A_.ExpectedSince_ = B_.ExpectedSince_ = monotonicNow();
+  uint64_t Sent = 0;
+  const Timer Heartbeats(Loop_, Milliseconds{100}, Timer::Mode::Repeat, [&] {
+    A_.Links_->send({2}, PlaceWithdraw{++Sent});
+    B_.Links_->send({1}, PlaceWithdraw{Sent});
+  });
+  A_.Links_->send({2}, ConfigNews{1, std::string(1'500'000, 'x')});
+  runUntil([&] { return !B_.Received_.empty(); });
+  CHECK(A_.Down_.empty());
+  CHECK(B_.Down_.empty());
+}
