Count input_unread only where nothing of the request was read

A request that stays incomplete keeps its bytes in the buffer before libevhtp, and was counted as unread although its client is told 408; the new counter would have hidden what it is for. It is now counted if nothing of a request was held.

--- a/transport/marjorambend/src/Transport/HttpConnection.cpp
+++ b/transport/marjorambend/src/Transport/HttpConnection.cpp
@@ -48,6 +48,10 @@
   State.Charged_ = Bytes;
 }
 
+bool HttpServer::Connection::holdsNothing() const {
+  return !IsAnswering_ && Charged_ <= ConnectionBytes;
+}
+
 bool HttpServer::Connection::hasUnreadInput(
     const evhtp_connection_t *Raw) const {
   if (Raw->bev == nullptr)
@@ -70,7 +74,7 @@
   for (const auto &[Raw, State] : Connections_) {
     if (State->IsAnswering_)
       ++Load.Answering_;
-    else if (State->IsReceiving_ && State->Charged_ > ConnectionBytes)
+    else if (State->IsReceiving_ && !State->holdsNothing())
       ++Load.Receiving_;
     else
       ++Load.Idle_;
@@ -94,7 +98,7 @@
     const Connection &State = *Connections_[Raw];
     if (State.IsReceiving_) {
       sendAndClose(Raw, "Request Timeout", Options_.TooSlow_);
-      if (State.Charged_ > ConnectionBytes)
+      if (!State.holdsNothing())
         noteClosed(CloseCause::TooSlow);
     } else if (State.IsAnswering_) {
       noteClosed(CloseCause::Unread);
@@ -123,14 +127,12 @@
   std::vector<HeldConnection> Held;
   std::vector<evhtp_connection_t *> Order;
   for (const auto &[Raw, State] : Connections_) {
-    const bool HoldsNothing =
-        !State->IsAnswering_ && State->Charged_ <= ConnectionBytes;
-    Held.push_back(
-        {.Id_ = Order.size(),
-         .Bytes_ = State->Charged_,
-         .Since_ = State->IdleSince_,
-         .HasOpenRequest_ = State->IsAnswering_,
-         .HasUnreadRequest_ = HoldsNothing && State->hasUnreadInput(Raw)});
+    Held.push_back({.Id_ = Order.size(),
+                    .Bytes_ = State->Charged_,
+                    .Since_ = State->IdleSince_,
+                    .HasOpenRequest_ = State->IsAnswering_,
+                    .HasUnreadRequest_ =
+                        State->holdsNothing() && State->hasUnreadInput(Raw)});
     Order.push_back(Raw);
   }
   for (const uint64_t Id : chooseClosed(Held, Found, monotonicNow())) {
--- a/transport/marjorambend/src/Transport/HttpConnection.h
+++ b/transport/marjorambend/src/Transport/HttpConnection.h
@@ -37,6 +37,8 @@
   /// socket, in the buffer that precedes libevhtp's deferred callback, or
   /// behind the previous request.
   bool hasUnreadInput(const evhtp_connection *Raw) const;
+  /// \brief Whether nothing of a request is held or being answered.
+  bool holdsNothing() const;
   /// \brief Whether an expired connection may be closed now.
   ///
   /// After a long callback, timers run before the input is read that arrived
--- a/transport/marjorambend/src/Transport/HttpServer.cpp
+++ b/transport/marjorambend/src/Transport/HttpServer.cpp
@@ -205,7 +205,7 @@
     if (HttpServer::Connection *State = find(Server, Raw)) {
       Server.HeldBytes_ -= State->Charged_;
       if (!State->HasPeerClosed_ && !State->IsRefused_ &&
-          State->hasUnreadInput(Raw))
+          State->holdsNothing() && State->hasUnreadInput(Raw))
         Server.noteClosed(CloseCause::InputUnread);
     }
     Server.Connections_.erase(Raw);
--- a/transport/test/BusyLoopTests.cpp
+++ b/transport/test/BusyLoopTests.cpp
@@ -132,6 +132,7 @@
   runThenBlock(Milliseconds{20}, Request.substr(10, 5));
   LONGS_EQUAL(Callers, answered("408"));
   LONGS_EQUAL(0, Served_);
+  LONGS_EQUAL(0, ClosedOverInput_);
 }
 
 // Guards against closing a connection over a request while others are idle.
