Name the received version of the configuration for what it is

DecodingConfig_ stood between two fields whose comments refer to one another and named an activity; it is ReceivedConfigVersion_ now.

--- a/coordination/marjorambend/src/Fleet/Fleet.h
+++ b/coordination/marjorambend/src/Fleet/Fleet.h
@@ -78,8 +78,9 @@
   Milliseconds ListNewsAt_;       ///< When another reader last sent the list.
   Milliseconds ListReadAt_;       ///< When this instance last read it.
   Milliseconds ConfigNewsAt_;     ///< When a reader last matched the store.
-  uint64_t DecodingConfig_ = 0;   ///< Newest version sent by another instance.
   Milliseconds ConfigReadAt_;     ///< When this instance last did so.
+  /// Newest version received from another instance, perhaps not decoded yet.
+  uint64_t ReceivedConfigVersion_ = 0;
   Evacuations Evacuations_; ///< Of the whole fleet, as distributed with that.
 
   std::map<Incarnation, FleetMember> Members_;
--- a/coordination/marjorambend/src/Fleet/News.cpp
+++ b/coordination/marjorambend/src/Fleet/News.cpp
@@ -80,7 +80,7 @@
   FleetInstance &State = Ctx.State_;
   if (News.Version_ <= State.Config_.Version_)
     return;
-  State.DecodingConfig_ = News.Version_;
+  State.ReceivedConfigVersion_ = News.Version_;
   Ctx.Out_.push_back(DecodeConfigText{News.Text_});
 }
 
@@ -153,7 +153,7 @@
   // will be known soon.
   if (Given.Version_ <= State.Config_.Version_ && KnowsEvacuations)
     State.ConfigNewsAt_ = std::max(State.ConfigNewsAt_, Ctx.Now_ - Given.Age_);
-  else if (Given.Version_ > State.DecodingConfig_ || !KnowsEvacuations)
+  else if (Given.Version_ > State.ReceivedConfigVersion_ || !KnowsEvacuations)
     State.ConfigNewsAt_ = {};
 }
 
--- a/transport/marjorambend/src/Transport/HttpServer.h
+++ b/transport/marjorambend/src/Transport/HttpServer.h
@@ -114,7 +114,8 @@
   bool hasUnsentBytes() const;
 
   /// \brief Whether a connection, or bytes of a request, have arrived and are
-  /// not handled yet. An exit of the process would lose them.
+  /// not handled yet, a partly received request included. An exit of the
+  /// process would lose them.
   bool hasUnreadInput() const;
 
   HttpServerLoad load() const;
