Test instances with endless answers of the store and endless frames

Added, with the load and bounds of the other cases (32 MB, 512 descriptors): connections and unfinished frames at the listener for instances; a store whose answers have no end of their headers, of their body or of their chunks; and the largest legal body, whole, in pieces and in one-byte chunks, which is served.

--- a/transport/test/CallerLoad.cpp
+++ b/transport/test/CallerLoad.cpp
@@ -1,6 +1,7 @@
 #include "CallerLoad.h"
 
 #include <arpa/inet.h>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -121,27 +122,51 @@
   }
 }
 
+static sockaddr_in socketAddress(const std::string &Address, uint16_t Port) {
+  sockaddr_in At{};
+  At.sin_family = AF_INET;
+  At.sin_port = htons(Port);
+  inet_pton(AF_INET, Address.c_str(), &At.sin_addr);
+  return At;
+}
+
+int InstanceProcess::listenOn(uint16_t Port) const {
+  const sockaddr_in At = socketAddress(Address_, Port);
+  const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int On = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  if (bind(Socket, reinterpret_cast<const sockaddr *>(&At), sizeof(At)) == 0 &&
+      listen(Socket, SOMAXCONN) == 0)
+    return Socket;
+  close(Socket);
+  return -1;
+}
+
 int InstanceProcess::connectTo(uint16_t Port) const {
-  sockaddr_in To{};
-  To.sin_family = AF_INET;
-  To.sin_port = htons(Port);
-  inet_pton(AF_INET, Address_.c_str(), &To.sin_addr);
+  const sockaddr_in To = socketAddress(Address_, Port);
   const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (connect(Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)) == 0)
+  if (connect(Socket, reinterpret_cast<const sockaddr *>(&To), sizeof(To)) == 0)
     return Socket;
   close(Socket);
   return -1;
 }
 
-std::string InstanceProcess::ask(uint16_t Port,
-                                 const std::string &Request) const {
+std::string InstanceProcess::ask(uint16_t Port, const std::string &Request,
+                                 std::size_t BytesPerWrite) const {
   // A connection may be closed while the process is above a bound; a caller
   // within the limits then tries again.
   for (int Try = 0; Try < 50; ++Try) {
     const int Socket = connectTo(Port);
     if (Socket < 0)
       return {};
-    send(Socket, Request.data(), Request.size(), MSG_NOSIGNAL);
+    for (std::string_view Rest = Request; !Rest.empty();) {
+      const ssize_t Sent =
+          send(Socket, Rest.data(), std::min(BytesPerWrite, Rest.size()),
+               MSG_NOSIGNAL);
+      if (Sent <= 0)
+        break;
+      Rest.remove_prefix(static_cast<std::size_t>(Sent));
+    }
     pollfd Wait{.fd = Socket, .events = POLLIN, .revents = 0};
     poll(&Wait, 1, 20'000);
     std::string Text(4'096, '\0');
@@ -201,4 +226,64 @@
     close(One.Socket_);
 }
 
+EndlessAnswers::EndlessAnswers(const InstanceProcess &Asking, uint16_t Port,
+                               std::string Answer)
+    : Listener_(Asking.listenOn(Port)), Answer_(std::move(Answer)) {}
+
+EndlessAnswers::~EndlessAnswers() {
+  for (const Connection &One : Open_)
+    close(One.Socket_);
+  close(Listener_);
+}
+
+void EndlessAnswers::serveFor(int Ms) {
+  const auto End =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(Ms);
+  while (std::chrono::steady_clock::now() < End) {
+    std::vector<pollfd> Wait{{.fd = Listener_, .events = POLLIN, .revents = 0}};
+    for (const Connection &One : Open_) {
+      const bool IsDone = One.Sent_ >= Answer_.size();
+      const short Events = IsDone ? POLLIN : POLLIN | POLLOUT;
+      Wait.push_back({.fd = One.Socket_, .events = Events, .revents = 0});
+    }
+    poll(Wait.data(), Wait.size(), MsPerTry);
+    std::vector<Connection> Open;
+    for (std::size_t Index = 0; Index < Open_.size(); ++Index) {
+      if (serve(Open_[Index], Wait[Index + 1].revents))
+        Open.push_back(Open_[Index]);
+    }
+    Open_ = std::move(Open);
+    if (Wait.front().revents != 0)
+      acceptOne();
+  }
+}
+
+void EndlessAnswers::acceptOne() {
+  const int Socket = accept4(Listener_, nullptr, nullptr, SOCK_CLOEXEC);
+  if (Socket < 0)
+    return;
+  ++Connections_;
+  Open_.push_back({.Socket_ = Socket});
+}
+
+bool EndlessAnswers::serve(Connection &One, short Events) const {
+  if ((Events & (POLLERR | POLLHUP)) != 0) {
+    close(One.Socket_);
+    return false;
+  }
+  std::string Request(4'096, '\0');
+  if ((Events & POLLIN) != 0 &&
+      recv(One.Socket_, Request.data(), Request.size(), MSG_DONTWAIT) == 0) {
+    close(One.Socket_);
+    return false;
+  }
+  if ((Events & POLLOUT) != 0) {
+    const ssize_t Bytes =
+        send(One.Socket_, Answer_.data() + One.Sent_,
+             Answer_.size() - One.Sent_, MSG_NOSIGNAL | MSG_DONTWAIT);
+    One.Sent_ += Bytes > 0 ? static_cast<std::size_t>(Bytes) : 0;
+  }
+  return true;
+}
+
 } // namespace marjorambend::test
--- a/transport/test/CallerLoad.h
+++ b/transport/test/CallerLoad.h
@@ -35,9 +35,12 @@
   void waitUntilRead() const;
   /// \brief Sends one request within the limits to \p Port; returns the status
   /// line, or nothing if the connection ends without a response.
-  std::string ask(uint16_t Port, const std::string &Request) const;
+  std::string ask(uint16_t Port, const std::string &Request,
+                  std::size_t BytesPerWrite = SIZE_MAX) const;
   /// \brief A connected socket, or -1.
   int connectTo(uint16_t Port) const;
+  /// \brief A socket that listens on the process's address, or -1.
+  int listenOn(uint16_t Port) const;
 
 private:
   uint64_t cpuTicks() const;
@@ -70,6 +73,35 @@
   std::vector<Sender> Senders_;
 };
 
+/// \brief Answers each connection that an instance opens with the same bytes,
+/// whatever it asks for, and keeps the connections open until it is destroyed.
+class EndlessAnswers {
+public:
+  EndlessAnswers(const InstanceProcess &Asking, uint16_t Port,
+                 std::string Answer);
+  EndlessAnswers(const EndlessAnswers &) = delete;
+  EndlessAnswers &operator=(const EndlessAnswers &) = delete;
+  ~EndlessAnswers();
+
+  void serveFor(int Ms);
+  std::size_t connections() const { return Connections_; }
+
+private:
+  struct Connection {
+    int Socket_ = -1;
+    std::size_t Sent_ = 0;
+  };
+
+  void acceptOne();
+  /// \brief Returns whether the connection is still open.
+  bool serve(Connection &One, short Events) const;
+
+  int Listener_;
+  std::string Answer_;
+  std::size_t Connections_ = 0; ///< Accepted so far.
+  std::vector<Connection> Open_;
+};
+
 } // namespace marjorambend::test
 
 #endif // MARJORAMBEND_TEST_CALLERLOAD_H
--- a/transport/test/UntrustedCallersTests.cpp
+++ b/transport/test/UntrustedCallersTests.cpp
@@ -2,6 +2,8 @@
 
 #include "CallerLoad.h"
 
+#include <cstring>
+
 using namespace marjorambend::test;
 
 // The load and the bounds are fixed: one instance with 32 MB and 512
@@ -10,8 +12,11 @@
 static constexpr std::size_t MaxFds = 512;
 static constexpr uint16_t CallerPort = 8161;
 static constexpr uint16_t ReadinessPort = 8167;
+static constexpr uint16_t InstancePort = 7720;
+static constexpr uint16_t StorePort = 8169;
 static constexpr std::size_t EndlessBytes = 4'000'000;
-static constexpr std::size_t BodyBytes = 250'000; // Limit: 262,144.
+static constexpr std::size_t LargestBody = 262'144;
+static constexpr std::size_t BodyBytes = 250'000;
 static constexpr std::size_t Few = 40;
 static constexpr std::size_t Many = 400;
 
@@ -54,6 +59,16 @@
   return repeated("GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n", EndlessBytes);
 }
 
+// A frame of another instance: its length, then its content.
+static std::string unfinishedFrame(uint32_t Length, std::size_t Sent) {
+  std::string Text(sizeof(Length), '\0');
+  std::memcpy(Text.data(), &Length, sizeof(Length));
+  return Text + std::string(Sent, 'x');
+}
+
+static const std::string AnswerStart =
+    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+
 TEST_GROUP(UntrustedCallers) {
   InstanceProcess Instance_{MemoryMb, MaxFds};
 
@@ -78,6 +93,14 @@
     CHECK(Instance_.peakKb() < MemoryMb << 10U);
 #endif
   }
+
+  // The store of the tests' settings gives the same answer to all calls.
+  void staysWithinItsMachineIfTheStoreAnswers(const std::string &Answer) {
+    EndlessAnswers Store(Instance_, StorePort, Answer);
+    Store.serveFor(3'000);
+    CHECK(Store.connections() > 0);
+    staysWithinItsMachine({});
+  }
 };
 
 TEST(UntrustedCallers, EndlessHead) {
@@ -136,6 +159,46 @@
                         ReadinessPort);
 }
 
+TEST(UntrustedCallers, InstanceListener) {
+  staysWithinItsMachine({{700, ""},
+                         {Many, unfinishedFrame(4'096, 4'095)},
+                         {Few, unfinishedFrame(16U << 20U, EndlessBytes)},
+                         {Few, unfinishedFrame(UINT32_MAX, EndlessBytes)}},
+                        InstancePort);
+}
+
+TEST(UntrustedCallers, StoreHeadsWithoutEnd) {
+  staysWithinItsMachineIfTheStoreAnswers(
+      AnswerStart + repeated("X-Name: 0123456789abcdef\r\n", 32'000'000));
+}
+
+TEST(UntrustedCallers, StoreBodiesWithoutEnd) {
+  staysWithinItsMachineIfTheStoreAnswers(AnswerStart + "\r\n" +
+                                         repeated("[", 32'000'000));
+}
+
+TEST(UntrustedCallers, StoreChunksWithoutEnd) {
+  staysWithinItsMachineIfTheStoreAnswers(AnswerStart +
+                                         "Transfer-Encoding: chunked\r\n\r\n" +
+                                         repeated("1\r\nx\r\n", 6'000'000));
+}
+
+// A request at the limit is served when nothing else is held.
+TEST(UntrustedCallers, LargestBodyIsServed) {
+  const std::string Body = "[" + repeated("1,", LargestBody - 2) + "]";
+  const std::string Whole = Start +
+                            "Content-Length: " + std::to_string(Body.size()) +
+                            "\r\n\r\n" + Body;
+  std::string Chunks = Chunked;
+  for (const char Byte : Body)
+    Chunks += std::string("1\r\n") + Byte + "\r\n";
+  LONGS_EQUAL(LargestBody, Body.size());
+  for (const std::string &Request : {Whole, Chunks + "0\r\n\r\n"})
+    for (const std::size_t BytesPerWrite : {Request.size(), std::size_t{1'000}})
+      STRCMP_EQUAL("HTTP/1.1 404 Not Found",
+                   Instance_.ask(CallerPort, Request, BytesPerWrite).c_str());
+}
+
 TEST(UntrustedCallers, AllTogether) {
   staysWithinItsMachine({{10, endlessHead()},
                          {20, endlessHead().substr(0, 128'000)},
