Bound what responses of workers and the store may hold

HttpClient counts the bytes that the calls in progress have received. Beyond an eighth of the machine's memory, for workers and the store each, the calls with the largest responses are abandoned as lost, which their handlers know from broken connections. The choice is a pure function, ResponseBudget; the counter responses_abandoned_total and the line response_abandoned show it. The limit of one log line in 10 s is a class of its own, LogLimiter, which closed callers use too.

--- a/daemon/CallerClosures.cpp
+++ b/daemon/CallerClosures.cpp
@@ -1,11 +1,9 @@
 #include "CallerClosures.h"
 
-#include <utility>
+#include <array>
 
 namespace marjorambend {
 
-static constexpr Milliseconds LogInterval{10'000};
-
 Counter counterOf(CloseCause Cause) {
   switch (Cause) {
   case CloseCause::HeaderTooLarge:
@@ -48,14 +46,4 @@
          renderGauge("caller_connections_idle", Load.Idle_);
 }
 
-std::optional<uint64_t> CallerClosures::note(CloseCause Cause,
-                                             Milliseconds Now) {
-  Entry &Known = Entries_[static_cast<std::size_t>(Cause)];
-  ++Known.Count_;
-  if (Known.LoggedAt_ && Now - *Known.LoggedAt_ < LogInterval)
-    return std::nullopt;
-  Known.LoggedAt_ = Now;
-  return std::exchange(Known.Count_, 0);
-}
-
 } // namespace marjorambend
--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -153,12 +153,19 @@
               }};
 }
 
+HttpClientOptions FleetDaemon::clientOptions() {
+  return {.MaxIdle_ = MaxIdleConnection,
+          .MaxResponseBytes_ = responseBudgetOf(Settings_.MemoryBytes_),
+          .OnAbandoned_ = [this](const Endpoint &From, std::size_t Bytes) {
+            onResponseAbandoned(From, Bytes);
+          }};
+}
+
 FleetDaemon::FleetDaemon(EventLoop &Loop, const PlatformSettings &Settings,
                          const FleetDaemonOptions &Options)
     : Loop_(Loop), Settings_(Settings), State_(makeInstance(Settings, Options)),
       Log_(Loop, {.Instance_ = Settings.Name_}),
-      WorkerClient_(Loop, MaxIdleConnection),
-      StoreClient_(Loop, MaxIdleConnection),
+      WorkerClient_(Loop, clientOptions()), StoreClient_(Loop, clientOptions()),
       Links_(
           Loop, {.Self_ = State_.Self_},
           {.OnUp_ =
@@ -341,6 +348,8 @@
   State_.Options_.Evacuation_.ReturnTime_ = Given->EvacuationReturn_;
   addSeeds(*Given);
   Callers_.setBudget(budgetOf(Given->MemoryBytes_, Given->MaxDescriptors_));
+  for (HttpClient *Client : {&WorkerClient_, &StoreClient_})
+    Client->setMaxResponseBytes(responseBudgetOf(Given->MemoryBytes_));
   if (State_.Options_.Placer_.WaitsForData_)
     State_.Options_.Placer_.RemoteFactor_ = Given->RemoteFactor_;
 }
--- a/daemon/FleetDaemon.h
+++ b/daemon/FleetDaemon.h
@@ -2,10 +2,12 @@
 #define MARJORAMBEND_DAEMON_FLEETDAEMON_H
 
 #include "CallerClosures.h"
+#include "LogLimiter.h"
 #include "PlatformSettings.h"
 #include "StoreWatch.h"
 #include "WorkerCalls.h"
 
+#include <array>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -51,6 +53,8 @@
   HttpReply onReadiness(const HttpRequest &Request) const;
   HttpReply onMetrics() const;
   void onCallerClosed(CloseCause Cause);
+  void onResponseAbandoned(const Endpoint &From, std::size_t Bytes);
+  HttpClientOptions clientOptions();
   std::optional<HttpReply> submit(HttpRequest &&Request, std::string Path,
                                   uint64_t Id);
   void checkStop();
@@ -65,6 +69,7 @@
   FleetInstance State_;
   DecisionLog Log_;
   SharedClock StoreClock_;
+  LogLimiter Abandoned_;
   HttpClient WorkerClient_;
   HttpClient StoreClient_;
   SessionLinks Links_;
@@ -72,7 +77,7 @@
   platform::StoreWatch Store_;
   platform::ConfigDecoder PeerConfigs_; ///< Sent by other instances.
   HttpServer Callers_;
-  CallerClosures Closures_;
+  std::array<LogLimiter, CloseCauses> Closures_; ///< By CloseCause.
   HttpServer Readiness_;
   std::unique_ptr<HttpServer> Metrics_;
   std::deque<FleetEvent> Events_;
--- a/daemon/FleetDaemonStatus.cpp
+++ b/daemon/FleetDaemonStatus.cpp
@@ -35,7 +35,8 @@
 
 void FleetDaemon::onCallerClosed(CloseCause Cause) {
   increment(State_.Counters_, counterOf(Cause));
-  const auto Count = Closures_.note(Cause, monotonicNow());
+  const auto Count =
+      Closures_[static_cast<std::size_t>(Cause)].note(monotonicNow());
   if (!Count)
     return;
   const HttpServerLoad Load = Callers_.load();
@@ -45,4 +46,13 @@
                              {"receiving", std::to_string(Load.Receiving_)}});
 }
 
+void FleetDaemon::onResponseAbandoned(const Endpoint &From, std::size_t Bytes) {
+  increment(State_.Counters_, Counter::ResponsesAbandoned);
+  if (const auto Count = Abandoned_.note(monotonicNow()))
+    logLine("response_abandoned",
+            {{"from", From.Address_ + ':' + std::to_string(From.Port_)},
+             {"held_bytes", std::to_string(Bytes)},
+             {"count", std::to_string(*Count)}});
+}
+
 } // namespace marjorambend
--- a/transport/marjorambend/src/Transport/HttpClient.cpp
+++ b/transport/marjorambend/src/Transport/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "marjorambend/src/Transport/HttpClient.h"
 
+#include "marjorambend/src/Transport/ResponseBudget.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -29,6 +31,13 @@
   Handler OnResult_;
   bool HasFailed_ = false;
   std::unique_ptr<Timer> Failure_;
+  std::size_t ReceivedBytes_ = 0; ///< Of the response, with its framing.
+  evbuffer_cb_entry *OnInput_ = nullptr;
+
+  Pending() = default;
+  Pending(const Pending &) = delete;
+  Pending &operator=(const Pending &) = delete;
+  ~Pending();
 };
 
 /// \brief Callbacks for evhttp.
@@ -55,6 +64,13 @@
                          false);
   }
 
+  static void onInput(evbuffer *, const evbuffer_cb_info *Change,
+                      void *Argument) {
+    auto &Call = *static_cast<HttpClient::Pending *>(Argument);
+    if (Change->n_added > 0)
+      Call.Client_->countReceived(Call, Change->n_added);
+  }
+
   static bool isKeptAlive(evhttp_request *Request) {
     const char *Value = evhttp_find_header(
         evhttp_request_get_input_headers(Request), "Connection");
@@ -75,6 +91,17 @@
   }
 };
 
+static evbuffer *inputOf(evhttp_connection *Connection) {
+  return bufferevent_get_input(evhttp_connection_get_bufferevent(Connection));
+}
+
+// The connection outlives its call and may be used by another one.
+HttpClient::Pending::~Pending() {
+  if (OnInput_ != nullptr)
+    evbuffer_remove_cb_entry(inputOf(Connection_), OnInput_);
+  Client_->HeldBytes_ -= ReceivedBytes_;
+}
+
 static evhttp_cmd_type commandOf(std::string_view Method) {
   if (Method == "POST")
     return EVHTTP_REQ_POST;
@@ -97,12 +124,13 @@
              sizeof(UserTimeoutMs));
 }
 
-HttpClient::HttpClient(EventLoop &Loop, Milliseconds MaxIdle)
-    : Loop_(Loop), MaxIdle_(MaxIdle) {}
+HttpClient::HttpClient(EventLoop &Loop, HttpClientOptions Options)
+    : Loop_(Loop), Options_(std::move(Options)) {}
 
 HttpClient::~HttpClient() {
   for (auto &[Number, Call] : Pending_)
-    evhttp_connection_free(Call->Connection_);
+    Discarded_.push_back(Call->Connection_);
+  Pending_.clear();
   for (auto &[To, Queue] : Idle_) {
     for (const Idle &One : Queue)
       evhttp_connection_free(One.Connection_);
@@ -123,7 +151,7 @@
 evhttp_connection *HttpClient::acquireConnection(const Endpoint &To) {
   std::deque<Idle> &Queue = Idle_[To];
   const Milliseconds Now = monotonicNow();
-  while (!Queue.empty() && Now - Queue.front().Since_ > MaxIdle_) {
+  while (!Queue.empty() && Now - Queue.front().Since_ > Options_.MaxIdle_) {
     discard(Queue.front().Connection_);
     Queue.pop_front();
   }
@@ -152,6 +180,8 @@
   New.OnResult_ = std::move(OnResult);
   New.Connection_ = acquireConnection(Call.To_);
   setTimeouts(New.Connection_, Call.Timeout_);
+  New.OnInput_ =
+      evbuffer_add_cb(inputOf(New.Connection_), HttpClientHooks::onInput, &New);
 
   New.Request_ = evhttp_request_new(HttpClientHooks::onDone, &New);
   evhttp_request_set_error_cb(New.Request_, HttpClientHooks::onError);
@@ -164,27 +194,47 @@
   const int Failed =
       evhttp_make_request(New.Connection_, New.Request_,
                           commandOf(Call.Method_), Call.Target_.c_str());
-  if (Failed != 0)
-    scheduleFailure(Number);
+  if (Failed != 0 && Pending_.contains(Number)) {
+    Entry->Request_ = nullptr;
+    scheduleFailure(Number, HttpFailure::NotConnected);
+  }
   return Number;
 }
 
-// Reports a call that could not be started; the handler is called from the
-// loop, not from send().
-void HttpClient::scheduleFailure(uint64_t Number) {
-  const auto Found = Pending_.find(Number);
-  if (Found == Pending_.end())
-    return;
-  Found->second->Request_ = nullptr;
-  Found->second->Failure_ = std::make_unique<Timer>(
-      Loop_, Milliseconds{0}, Timer::Mode::Once, [this, Number] {
-        const auto Call = Pending_.find(Number);
-        if (Call != Pending_.end())
-          finish(*Call->second, tl::unexpected(HttpFailure::NotConnected),
-                 false);
+// Reports a failed call from the loop: not from send(), and not while its
+// connection is being read.
+void HttpClient::scheduleFailure(uint64_t Number, HttpFailure Why) {
+  Pending_.at(Number)->Failure_ = std::make_unique<Timer>(
+      Loop_, Milliseconds{0}, Timer::Mode::Once, [this, Number, Why] {
+        Pending &Call = *Pending_.at(Number);
+        if (Call.Request_ != nullptr)
+          evhttp_cancel_request(Call.Request_);
+        finish(Call, tl::unexpected(Why), false);
       });
 }
 
+void HttpClient::countReceived(Pending &Call, std::size_t Bytes) {
+  Call.ReceivedBytes_ += Bytes;
+  HeldBytes_ += Bytes;
+  if (Options_.MaxResponseBytes_ > 0 && HeldBytes_ > Options_.MaxResponseBytes_)
+    keepWithinBudget();
+}
+
+void HttpClient::keepWithinBudget() {
+  std::vector<HeldResponse> Held;
+  for (const auto &[Number, Call] : Pending_) {
+    if (!Call->Failure_)
+      Held.push_back({.Call_ = Number, .Bytes_ = Call->ReceivedBytes_});
+  }
+  for (const uint64_t Number :
+       chooseAbandoned(std::move(Held), Options_.MaxResponseBytes_)) {
+    const Pending &Call = *Pending_.at(Number);
+    if (Options_.OnAbandoned_)
+      Options_.OnAbandoned_(Call.To_, Call.ReceivedBytes_);
+    scheduleFailure(Number, HttpFailure::Lost);
+  }
+}
+
 void HttpClient::abort(uint64_t Number) {
   const auto Found = Pending_.find(Number);
   if (Found == Pending_.end())
@@ -198,7 +248,7 @@
 void HttpClient::finish(Pending &Done, HttpResult Result, bool IsReusable) {
   const Handler OnResult = std::move(Done.OnResult_);
   if (IsReusable) {
-    setTimeouts(Done.Connection_, MaxIdle_);
+    setTimeouts(Done.Connection_, Options_.MaxIdle_);
     Idle_[Done.To_].push_back({Done.Connection_, monotonicNow()});
   } else {
     discard(Done.Connection_);
--- a/transport/test/HttpTests.cpp
+++ b/transport/test/HttpTests.cpp
@@ -181,6 +181,35 @@
 
 TEST_GROUP_BASE(HttpCalls, TEST_GROUP_CppUTestGroupHttpServing){};
 
+namespace {
+
+/// \brief A listener whose connections the test serves itself.
+class ScriptedServer {
+public:
+  ScriptedServer() : Listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Any{};
+    Any.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &Any.sin_addr);
+    bind(Listener_, reinterpret_cast<sockaddr *>(&Any), sizeof(Any));
+    listen(Listener_, 1);
+  }
+  ScriptedServer(const ScriptedServer &) = delete;
+  ScriptedServer &operator=(const ScriptedServer &) = delete;
+  ~ScriptedServer() { close(Listener_); }
+  uint16_t port() const {
+    sockaddr_in Own{};
+    socklen_t Length = sizeof(Own);
+    getsockname(Listener_, reinterpret_cast<sockaddr *>(&Own), &Length);
+    return ntohs(Own.sin_port);
+  }
+  int accept() const { return ::accept(Listener_, nullptr, nullptr); }
+
+private:
+  int Listener_;
+};
+
+} // namespace
+
 TEST(HttpCalls, ReportsNotConnected) {
   const RawConnection Unused(Server_.port());
   send({.To_ = {"127.0.0.1", 1}});
@@ -198,24 +227,16 @@
 }
 
 TEST(HttpCalls, ReportsLostForTruncatedResponse) {
-  const int Listener = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
-  socklen_t Length = sizeof(Address);
-  bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length);
-  listen(Listener, 1);
-  getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
-  send({.To_ = {"127.0.0.1", ntohs(Address.sin_port)}});
+  const ScriptedServer Scripted;
+  send({.To_ = {"127.0.0.1", Scripted.port()}});
   const Timer Cut(Loop_, Milliseconds{20}, Timer::Mode::Once, [&] {
-    const int Socket = accept(Listener, nullptr, nullptr);
+    const int Socket = Scripted.accept();
     const std::string PartialReply =
         "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
     ::send(Socket, PartialReply.data(), PartialReply.size(), MSG_NOSIGNAL);
     close(Socket);
   });
   Loop_.run();
-  close(Listener);
   CHECK(Answered_->error() == HttpFailure::Lost);
 }
 
@@ -259,20 +280,13 @@
 // Guards against a response of the store or a worker that never ends.
 TEST(HttpCalls, ReportsLostForEndlessResponseHeader) {
   const std::string Header = "X-Name: " + std::string(1'000, 'x') + "\r\n";
-  const int Listener = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  inet_pton(AF_INET, "127.0.0.1", &Address.sin_addr);
-  socklen_t Length = sizeof(Address);
-  bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length);
-  listen(Listener, 1);
-  getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
-  send({.To_ = {"127.0.0.1", ntohs(Address.sin_port)}});
+  const ScriptedServer Scripted;
+  send({.To_ = {"127.0.0.1", Scripted.port()}});
   int Socket = -1;
   std::size_t SentBytes = 0;
   const Timer Reply(Loop_, Milliseconds{20}, Timer::Mode::Repeat, [&] {
     if (Socket < 0) {
-      Socket = accept(Listener, nullptr, nullptr);
+      Socket = Scripted.accept();
       ::send(Socket, "HTTP/1.1 200 OK\r\n", 17, MSG_NOSIGNAL);
     }
     for (int Count = 0; Count < 10; ++Count) {
@@ -282,11 +296,59 @@
   });
   Loop_.run();
   close(Socket);
-  close(Listener);
   CHECK(Answered_->error() == HttpFailure::Lost);
   CHECK(SentBytes < 1'000'000); // The timeout would allow 2.5 MB.
 }
 
+// Guards against a response without end that takes the memory of all others.
+TEST(HttpCalls, AbandonsTheLargestResponseBeyondItsBudget) {
+  std::vector<std::size_t> Abandoned;
+  HttpClient Bounded(Loop_,
+                     {.MaxResponseBytes_ = 100'000,
+                      .OnAbandoned_ = [&](const Endpoint &, std::size_t Bytes) {
+                        Abandoned.push_back(Bytes);
+                      }});
+  const ScriptedServer Scripted;
+  std::optional<HttpResult> Endless;
+  Bounded.send({.To_ = {"127.0.0.1", Scripted.port()}}, [&](HttpResult Result) {
+    Endless = std::move(Result);
+    Server_.reply(Received_->Token_, {.Status_ = 200, .Body_ = "small"});
+  });
+  IsReplyDeferred_ = true;
+  Bounded.send(callOf("body"), [&](HttpResult Result) {
+    Answered_ = std::move(Result);
+    Loop_.stop();
+  });
+  int Socket = -1;
+  const Timer Reply(Loop_, Milliseconds{20}, Timer::Mode::Repeat, [&] {
+    const std::string Piece(30'000, 'x');
+    if (Socket < 0) {
+      Socket = Scripted.accept();
+      ::send(Socket, "HTTP/1.1 200 OK\r\n\r\n", 19, MSG_NOSIGNAL);
+    }
+    ::send(Socket, Piece.data(), Piece.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  });
+  Loop_.run();
+  close(Socket);
+  CHECK(Endless->error() == HttpFailure::Lost);
+  STRCMP_EQUAL("small", (*Answered_)->Body_.c_str());
+  LONGS_EQUAL(1, Abandoned.size());
+  CHECK(Abandoned.front() > 90'000 && Abandoned.front() < 150'000);
+}
+
+// Guards against an account that is not settled when its calls end.
+TEST(HttpCalls, MayReceiveMoreThanTheBudgetOneAfterAnother) {
+  HttpClient Bounded(Loop_, {.MaxResponseBytes_ = 2'000});
+  for (int Count = 0; Count < 10; ++Count) {
+    Bounded.send(callOf(std::string(900, 'x')), [&](HttpResult Result) {
+      Answered_ = std::move(Result);
+      Loop_.stop();
+    });
+    Loop_.run();
+    CHECK(Answered_->has_value());
+  }
+}
+
 // Guards against a chunked body that libevhtp sees in pieces, and against a
 // client that waits for 100 Continue in vain.
 TEST(HttpServing, ReadsChunkedBodyOfClientThatWaits) {
