Bound links without a hello between standalone daemons

PeerLinks accepted any number of connections and, before a hello, frames of 16 MB, although only the hello authenticates an instance. Both have the bounds that SessionLinks has: 256 links without a hello, and a first frame of 4 KB.

--- a/transport/marjorambend/src/Transport/PeerLinks.cpp
+++ b/transport/marjorambend/src/Transport/PeerLinks.cpp
@@ -2,6 +2,7 @@
 
 #include "marjorambend/src/Transport/Sockets.h"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -9,6 +10,10 @@
 namespace marjorambend {
 
 static constexpr unsigned LinkUserTimeoutMs = 3'000;
+// Accepted links without a hello; they are closed after HelloTimeout_.
+static constexpr std::ptrdiff_t MaxStrangers = 256;
+// Largest first frame of a link; a hello has some hundred bytes.
+static constexpr std::size_t MaxHelloBytes = 4U << 10U;
 
 /// \brief One connection between two instances.
 struct PeerLinks::Link {
@@ -38,6 +43,14 @@
   static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
                        int, void *Argument) {
     auto &Links = *static_cast<PeerLinks *>(Argument);
+    const auto Strangers = std::count_if(
+        Links.Links_.begin(), Links.Links_.end(), [](const auto &Entry) {
+          return !Entry.second->Peer_ && !Entry.second->Dialled_;
+        });
+    if (Strangers >= MaxStrangers) {
+      evutil_closesocket(Socket);
+      return;
+    }
     bufferevent *Buffer = bufferevent_socket_new(Links.Loop_.base(), Socket,
                                                  BEV_OPT_CLOSE_ON_FREE);
     Links.addLink(Buffer, std::nullopt);
@@ -148,7 +161,7 @@
     const uint8_t *Data = evbuffer_pullup(Input, -1);
     const auto Extracted =
         extractFrame(From.Receiving_, {Data, Data == nullptr ? 0 : Bytes},
-                     Options_.MaxFrameBytes_);
+                     From.Peer_ ? Options_.MaxFrameBytes_ : MaxHelloBytes);
     if (!Extracted) {
       rejectFrame(From);
       return;
