Bound connections without a hello by the descriptors of the machine

256 connections of instances that have not sent a hello, beside half of the descriptors for callers, exceed all descriptors where a process may open 512. The bound is now an eighth of them, and 256 at most; above 2,048 descriptors nothing changes.

--- a/daemon/FleetDaemon.cpp
+++ b/daemon/FleetDaemon.cpp
@@ -167,7 +167,9 @@
       Log_(Loop, {.Instance_ = Settings.Name_}),
       WorkerClient_(Loop, clientOptions()), StoreClient_(Loop, clientOptions()),
       Links_(
-          Loop, {.Self_ = State_.Self_},
+          Loop,
+          {.Self_ = State_.Self_,
+           .MaxStrangers_ = maxStrangersOf(Settings.MaxDescriptors_)},
           {.OnUp_ =
                [this](const InstanceInfo &Info) { handle(InstanceUp{Info}); },
            .OnDown_ = [this](Incarnation Run) { handle(InstanceDown{Run}); },
--- a/transport/marjorambend/src/Transport/CallerBudget.cpp
+++ b/transport/marjorambend/src/Transport/CallerBudget.cpp
@@ -11,6 +11,9 @@
 // Several requests of the largest size that a configuration allows by default.
 static constexpr std::size_t MinBytes = 1U << 20U;
 static constexpr std::size_t MinConnections = 16;
+// All instances of a large fleet may dial at once.
+static constexpr std::size_t MaxStrangers = 256;
+static constexpr std::size_t StrangerShare = 8;
 static constexpr std::size_t FreedShare = 8;
 static constexpr std::size_t MinBodyBytesPerMs = 16;
 
@@ -24,6 +27,12 @@
   return Budget;
 }
 
+std::size_t maxStrangersOf(std::size_t MaxDescriptors) {
+  if (MaxDescriptors == 0)
+    return MaxStrangers;
+  return std::min(MaxDescriptors / StrangerShare, MaxStrangers);
+}
+
 Excess excessOver(const CallerBudget &Budget, std::size_t Bytes,
                   std::size_t Connections) {
   Excess Found;
--- a/transport/marjorambend/src/Transport/CallerBudget.h
+++ b/transport/marjorambend/src/Transport/CallerBudget.h
@@ -36,6 +36,10 @@
 /// of 0 is unknown and gives no bound.
 CallerBudget budgetOf(std::size_t MemoryBytes, std::size_t MaxDescriptors);
 
+/// \brief Bound on the accepted connections of other instances that have not
+/// sent a hello, with these descriptors; 0 is unknown.
+std::size_t maxStrangersOf(std::size_t MaxDescriptors);
+
 /// \brief What exceeds the budget. Beyond its bound an eighth is freed, so that
 /// not every byte and connection leads to a new choice.
 Excess excessOver(const CallerBudget &Budget, std::size_t Bytes,
--- a/transport/marjorambend/src/Transport/PeerLinks.cpp
+++ b/transport/marjorambend/src/Transport/PeerLinks.cpp
@@ -10,8 +10,6 @@
 namespace marjorambend {
 
 static constexpr unsigned LinkUserTimeoutMs = 3'000;
-// Accepted links without a hello; they are closed after HelloTimeout_.
-static constexpr std::ptrdiff_t MaxStrangers = 256;
 // Largest first frame of a link; a hello has some hundred bytes.
 static constexpr std::size_t MaxHelloBytes = 4U << 10U;
 
@@ -47,7 +45,7 @@
         Links.Links_.begin(), Links.Links_.end(), [](const auto &Entry) {
           return !Entry.second->Peer_ && !Entry.second->Dialled_;
         });
-    if (Strangers >= MaxStrangers) {
+    if (static_cast<std::size_t>(Strangers) >= Links.Options_.MaxStrangers_) {
       evutil_closesocket(Socket);
       return;
     }
--- a/transport/marjorambend/src/Transport/PeerLinks.h
+++ b/transport/marjorambend/src/Transport/PeerLinks.h
@@ -28,6 +28,7 @@
   std::size_t MaxFrameBytes_ = 16U << 20U;
   /// Unsent bytes above which a link is closed.
   std::size_t MaxBufferedBytes_ = 64U << 20U;
+  std::size_t MaxStrangers_ = 256; ///< Accepted links without a hello.
   Milliseconds RedialEvery_{500};
   Milliseconds HelloTimeout_{2'000};
   PeerHello Self_; ///< The nonce is generated for each link.
--- a/transport/marjorambend/src/Transport/SessionLinks.cpp
+++ b/transport/marjorambend/src/Transport/SessionLinks.cpp
@@ -20,9 +20,6 @@
 // have arrived that was not read yet.
 static constexpr Milliseconds MaxTickDelay{120};
 
-// Accepted connections that have not sent a hello; they are closed after
-// HandshakeTimeout_.
-static constexpr std::ptrdiff_t MaxStrangers = 256;
 // Largest first frame of a connection; a hello has some hundred bytes.
 static constexpr std::size_t MaxHelloBytes = 4U << 10U;
 
@@ -65,7 +62,7 @@
                       [](const auto &Entry) {
                         return !Entry.second->Run_ && !Entry.second->Dialled_;
                       });
-    if (Strangers >= MaxStrangers) {
+    if (static_cast<std::size_t>(Strangers) >= Links.Options_.MaxStrangers_) {
       evutil_closesocket(Socket);
       return;
     }
--- a/transport/marjorambend/src/Transport/SessionLinks.h
+++ b/transport/marjorambend/src/Transport/SessionLinks.h
@@ -24,6 +24,7 @@
 struct SessionLinkOptions {
   InstanceInfo Self_; ///< Including the address to listen on.
   std::size_t MaxFrameBytes_ = 4U << 20U;
+  std::size_t MaxStrangers_ = 256; ///< Accepted connections without a hello.
   std::size_t MaxUnconfirmed_ = 20'000; ///< Messages; above, a session ends.
   /// Silence after which a connection is replaced; 2.5 heartbeat intervals.
   Milliseconds ConnectionSilence_{260};
--- a/transport/test/CallerBudgetTests.cpp
+++ b/transport/test/CallerBudgetTests.cpp
@@ -50,6 +50,9 @@
   const CallerBudget Smallest = budgetOf(120 * Mb, 3'075);
   LONGS_EQUAL(30 * Mb, Smallest.MaxBytes_);
   LONGS_EQUAL(1'537, Smallest.MaxConnections_);
+  LONGS_EQUAL(256, maxStrangersOf(3'074));
+  LONGS_EQUAL(64, maxStrangersOf(512));
+  LONGS_EQUAL(256, maxStrangersOf(0));
   LONGS_EQUAL(Mb, budgetOf(Mb, 0).MaxBytes_);
   LONGS_EQUAL(0, excessOver(budgetOf(0, 0), 99 * Mb, 99'999).Bytes_);
   LONGS_EQUAL(0, excessOver(budgetOf(0, 0), 99 * Mb, 99'999).Connections_);
