Bound what clients of the standalone daemon may hold

The daemon without the platform's settings file does not know the memory and the descriptors of its machine, so its callers and operators had bounds for each connection only. The settings memory_mb and max_fds state them; 0, the default, keeps what was. A refused request is answered 504, "may have run", since its identity is not read.

The daemon's options are built in a file of their own, DaemonOptions.cpp.

--- a/daemon/Daemon.cpp
+++ b/daemon/Daemon.cpp
@@ -1,10 +1,10 @@
 #include "Daemon.h"
 
+#include "DaemonOptions.h"
 #include "OperatorApi.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <spdlog/spdlog.h>
 
 namespace marjorambend {
@@ -13,73 +13,6 @@
 static constexpr std::size_t MaxIdentitiesPerRequest = 1000;
 static constexpr std::string_view JobsPath = "/v1/jobs";
 
-static RoutingPolicy policyOf(const std::string &Name) {
-  if (Name == "least-outstanding")
-    return RoutingPolicy::LeastOutstanding;
-  if (Name == "round-robin")
-    return RoutingPolicy::RoundRobin;
-  if (Name == "random")
-    return RoutingPolicy::RandomChoice;
-  return RoutingPolicy::EarliestCompletion;
-}
-
-static InstanceOptions toOptions(const SettingsT &S) {
-  InstanceOptions Options;
-  Options.Name_ = S.name;
-  Options.DataCentre_ = S.data_centre;
-  Options.Routing_.Policy_ = policyOf(S.routing_policy);
-  Options.Admission_.MaxQueuedTasks_ = S.max_queued_tasks;
-  Options.Admission_.MaxQueuedBytes_ = S.max_queued_bytes;
-  Options.Admission_.MaxWait_ = {S.max_wait_ms};
-  Options.Retry_.IsUnlimited_ = S.unlimited_retries;
-  Options.Claims_.Spacing_ = {S.claim_spacing_ms};
-  Options.Peers_.SlotHeadroom_ = static_cast<uint32_t>(S.slot_headroom);
-  Options.Peers_.Silence_ = {S.peer_silence_ms};
-  Options.IdentityWindow_ = {S.identity_window_ms};
-  Options.ClaimRetention_ = {S.claim_retention_ms};
-  Options.ConfigPoll_ = {S.config_poll_ms};
-  Options.MaxRecords_ = S.max_records;
-  Options.MaxAnswerBytes_ = S.max_answer_bytes;
-  return Options;
-}
-
-static uint64_t seedOf(const SettingsT &S) {
-  if (S.seed != 0)
-    return static_cast<uint64_t>(S.seed);
-  std::random_device Source;
-  return (static_cast<uint64_t>(Source()) << 32U) | Source();
-}
-
-static InstanceSpec specOf(const SettingsT &S) {
-  return {.Name_ = S.name,
-          .DataCentre_ = S.data_centre,
-          .Address_ = S.address,
-          .CallerPort_ = static_cast<uint16_t>(S.caller_port),
-          .OperatorPort_ = static_cast<uint16_t>(S.operator_port),
-          .PeerPort_ = static_cast<uint16_t>(S.peer_port)};
-}
-
-static HttpServerOptions serverOptions(const SettingsT &S, int32_t Port) {
-  return {.Address_ = S.address,
-          .Port_ = static_cast<uint16_t>(Port),
-          .MaxBodyBytes_ = static_cast<std::size_t>(S.max_body_bytes),
-          .RequestTimeout_ = {S.request_timeout_ms},
-          .IdleTimeout_ = {S.idle_timeout_ms},
-          .TooSlow_ = formatTooSlow(),
-          .TooLarge_ = formatError({.Reason_ = Reason::BodyTooLarge,
-                                    .What_ = "the body exceeds " +
-                                             std::to_string(S.max_body_bytes) +
-                                             " bytes"})};
-}
-
-static PeerLinkOptions linkOptions(const SettingsT &S, Incarnation Self) {
-  return {
-      .Listen_ = {S.address, static_cast<uint16_t>(S.peer_port)},
-      .Key_ = S.peer_key,
-      .MaxFrameBytes_ = static_cast<std::size_t>(S.max_frame_bytes),
-      .Self_ = {.Run_ = Self, .Name_ = S.name, .DataCentre_ = S.data_centre}};
-}
-
 static bool isForwarding(const PeerMessage &Message) {
   return std::holds_alternative<ForwardedJob>(Message) ||
          std::holds_alternative<ForwardedAnswer>(Message);
@@ -122,8 +55,9 @@
 
 Daemon::Daemon(EventLoop &Loop, const SettingsT &Settings)
     : Loop_(Loop), Settings_(Settings), WallOffset_(wallNow() - monotonicNow()),
-      State_(makeInstance(toOptions(Settings), seedOf(Settings))),
-      Client_(Loop), Traces_(Settings.trace_file, Settings.name, WallOffset_),
+      State_(makeInstance(instanceOptions(Settings), seedOf(Settings))),
+      Client_(Loop, clientOptions(Settings)),
+      Traces_(Settings.trace_file, Settings.name, WallOffset_),
       Links_(Loop, linkOptions(Settings, State_.Self_),
              {.OnConnected_ =
                   [this](const PeerHello &Hello) {
@@ -152,7 +86,7 @@
           [this](Event Incoming) { handle(std::move(Incoming)); },
           [this](const PlatformList &List) { onList(List); }),
       CallerServer_(
-          Loop, serverOptions(Settings, Settings.caller_port),
+          Loop, callerServerOptions(Settings),
           [this](HttpRequest &&R) { return onCaller(std::move(R)); },
           [this](uint64_t Token) {
             const auto Found = Callers_.find(Token);
@@ -163,7 +97,7 @@
             handle(CallerGone{.Token_ = Token, .Id_ = Id});
           }),
       OperatorServer_(
-          Loop, serverOptions(Settings, Settings.operator_port),
+          Loop, operatorServerOptions(Settings),
           [this](HttpRequest &&R) { return onOperator(std::move(R)); },
           nullptr) {}
 
--- a/transport/marjorambend/src/Transport/CallerApi.cpp
+++ b/transport/marjorambend/src/Transport/CallerApi.cpp
@@ -155,6 +155,14 @@
                        Error.Reason_, Error.What_);
 }
 
+HttpReply formatOverloaded() {
+  HttpReply Reply =
+      formatRefusal(504, Outcome::MayHaveRun, Reason::RequestsTooLarge,
+                    reasonHelp(Reason::RequestsTooLarge));
+  Reply.Headers_.emplace_back("Retry-After", "1");
+  return Reply;
+}
+
 HttpReply formatTooSlow() {
   return formatRefusal(408, Outcome::MayHaveRun, Reason::RequestTooSlow,
                        reasonHelp(Reason::RequestTooSlow));
--- a/transport/marjorambend/src/Transport/CallerApi.h
+++ b/transport/marjorambend/src/Transport/CallerApi.h
@@ -42,6 +42,12 @@
 /// submission; the outcome is therefore "may have run".
 HttpReply formatTooSlow();
 
+/// \brief The response to a request that is not read to its end, because all
+/// callers together hold too much.
+///
+/// The outcome is "may have run", as that of formatTooSlow().
+HttpReply formatOverloaded();
+
 } // namespace marjorambend
 
 #endif // MARJORAMBEND_TRANSPORT_CALLERAPI_H
--- a/transport/marjorambend/src/Transport/HttpConnection.cpp
+++ b/transport/marjorambend/src/Transport/HttpConnection.cpp
@@ -139,7 +139,9 @@
     evhtp_connection_t *Raw = Order[Id];
     Connection &State = *Connections_[Raw];
     if (State.Receiver_.isInBody() || Held[Id].HasUnreadRequest_) {
-      sendAndClose(Raw, "Service Unavailable", Options_.Overloaded_);
+      const bool IsTimeout = Options_.Overloaded_.Status_ == 504;
+      sendAndClose(Raw, IsTimeout ? "Gateway Timeout" : "Service Unavailable",
+                   Options_.Overloaded_);
       State.IsRefused_ = true;
     }
     noteClosed(Found.Bytes_ > 0 ? CloseCause::TooManyBytes
--- a/transport/test/CallerLoad.cpp
+++ b/transport/test/CallerLoad.cpp
@@ -41,7 +41,25 @@
                       << Address << ":8169\"\n";
 }
 
-InstanceProcess::InstanceProcess(std::size_t MemoryMb, std::size_t MaxFds)
+// The same ports and limits as those of the settings file.
+static std::vector<std::string> standaloneFlags(const std::string &Address,
+                                                std::size_t MemoryMb,
+                                                std::size_t MaxFds) {
+  return {"--address=" + Address,
+          "--caller_port=8161",
+          "--operator_port=8167",
+          "--peer_port=7720",
+          "--platform_address=" + Address,
+          "--platform_port=8169",
+          "--operator_secret=operators",
+          "--peer_key=instances",
+          "--max_body_bytes=262144",
+          "--memory_mb=" + std::to_string(MemoryMb),
+          "--max_fds=" + std::to_string(MaxFds)};
+}
+
+InstanceProcess::InstanceProcess(std::size_t MemoryMb, std::size_t MaxFds,
+                                 DaemonKind Kind)
     : Address_(loopbackAddress()) {
   std::string Name =
       std::filesystem::temp_directory_path() / "untrusted-callers-XXXXXX";
@@ -49,6 +67,16 @@
   const std::string File = Folder_ + "/settings.yaml";
   const std::string Log = Folder_ + "/log";
   writeSettings(File, Address_, MemoryMb, MaxFds);
+  std::vector<std::string> Arguments{MARJORAMBEND_PROGRAM};
+  if (Kind == DaemonKind::Platform)
+    Arguments.emplace_back("platform");
+  else
+    for (std::string &Flag : standaloneFlags(Address_, MemoryMb, MaxFds))
+      Arguments.push_back(std::move(Flag));
+  std::vector<char *> Words;
+  for (std::string &Argument : Arguments)
+    Words.push_back(Argument.data());
+  Words.push_back(nullptr);
   Process_ = fork();
   if (Process_ == 0) {
     setenv("MARJORAMBEND_NODE_FILE", File.c_str(), 1);
@@ -56,7 +84,7 @@
         open(Log.c_str(), O_CREAT | O_WRONLY | O_CLOEXEC | O_APPEND, 0600);
     dup2(Output, STDOUT_FILENO);
     dup2(Output, STDERR_FILENO);
-    execl(MARJORAMBEND_PROGRAM, MARJORAMBEND_PROGRAM, "platform", nullptr);
+    execv(MARJORAMBEND_PROGRAM, Words.data());
     _exit(127);
   }
   for (int Try = 0; Try < MaxTries; ++Try) {
--- a/transport/test/CallerLoad.h
+++ b/transport/test/CallerLoad.h
@@ -17,10 +17,17 @@
   std::size_t BytesPerWrite_ = 64U << 10U;
 };
 
-/// \brief A running `marjorambend platform` with the settings of these tests.
+/// \brief Which daemon a process runs.
+enum class DaemonKind : uint8_t {
+  Platform,  ///< `marjorambend platform`, with a settings file.
+  Standalone ///< `marjorambend`, with flags.
+};
+
+/// \brief A running daemon with the settings of these tests.
 class InstanceProcess {
 public:
-  explicit InstanceProcess(std::size_t MemoryMb, std::size_t MaxFds);
+  InstanceProcess(std::size_t MemoryMb, std::size_t MaxFds,
+                  DaemonKind Kind = DaemonKind::Platform);
   InstanceProcess(const InstanceProcess &) = delete;
   InstanceProcess &operator=(const InstanceProcess &) = delete;
   ~InstanceProcess();
--- a/transport/test/UntrustedCallersTests.cpp
+++ b/transport/test/UntrustedCallersTests.cpp
@@ -12,6 +12,7 @@
 static constexpr std::size_t MaxFds = 512;
 static constexpr uint16_t CallerPort = 8161;
 static constexpr uint16_t ReadinessPort = 8167;
+static constexpr uint16_t OperatorPort = 8167; // Of the standalone daemon.
 static constexpr uint16_t InstancePort = 7720;
 static constexpr uint16_t StorePort = 8169;
 static constexpr std::size_t EndlessBytes = 4'000'000;
@@ -69,29 +70,35 @@
 static const std::string AnswerStart =
     "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
 
+// Memory is not compared with the sanitizers' build, whose allocator keeps
+// freed blocks.
+static void checkStaysWithinItsMachine(InstanceProcess &Instance,
+                                       const std::vector<CallerLoad> &Loads,
+                                       uint16_t Port, const char *Status) {
+  const OpenLoad Open(Instance, Port, Loads);
+  Instance.waitUntilRead();
+  // The path has no job's identity; only the handler answers this status.
+  const std::string Job = R"({"spec":")" + std::string(4'000, 's') +
+                          R"(","phases":[{"count":1,"cpu":1}]})";
+  const std::string Answer = Instance.ask(
+      CallerPort, Start + "Content-Length: " + std::to_string(Job.size()) +
+                      "\r\n\r\n" + Job);
+  std::cout << "peak KB " << Instance.peakKb() << ", descriptors "
+            << Instance.openDescriptors() << std::endl;
+  CHECK(Instance.isRunning());
+  STRCMP_EQUAL((std::string("HTTP/1.1 ") + Status).c_str(), Answer.c_str());
+  CHECK(Instance.openDescriptors() < MaxFds);
+#ifndef __SANITIZE_ADDRESS__
+  CHECK(Instance.peakKb() < MemoryMb << 10U);
+#endif
+}
+
 TEST_GROUP(UntrustedCallers) {
   InstanceProcess Instance_{MemoryMb, MaxFds};
 
-  // Memory is not compared with the sanitizers' build, whose allocator keeps
-  // freed blocks.
   void staysWithinItsMachine(std::vector<CallerLoad> Loads,
                              uint16_t Port = CallerPort) {
-    const OpenLoad Open(Instance_, Port, Loads);
-    Instance_.waitUntilRead();
-    // The job's path has no identity: only the handler answers 404.
-    const std::string Job = R"({"spec":")" + std::string(4'000, 's') +
-                            R"(","phases":[{"count":1,"cpu":1}]})";
-    const std::string Answer = Instance_.ask(
-        CallerPort, Start + "Content-Length: " + std::to_string(Job.size()) +
-                        "\r\n\r\n" + Job);
-    std::cout << "peak KB " << Instance_.peakKb() << ", descriptors "
-              << Instance_.openDescriptors() << std::endl;
-    CHECK(Instance_.isRunning());
-    STRCMP_EQUAL("HTTP/1.1 404 Not Found", Answer.c_str());
-    CHECK(Instance_.openDescriptors() < MaxFds);
-#ifndef __SANITIZE_ADDRESS__
-    CHECK(Instance_.peakKb() < MemoryMb << 10U);
-#endif
+    checkStaysWithinItsMachine(Instance_, Loads, Port, "404 Not Found");
   }
 
   // The store of the tests' settings gives the same answer to all calls.
@@ -212,4 +219,23 @@
                          {100, ""}});
 }
 
+TEST_GROUP(UntrustedCallersOfStandalone) {
+  InstanceProcess Instance_{MemoryMb, MaxFds, DaemonKind::Standalone};
+};
+
+// This daemon has a port for operators too.
+TEST(UntrustedCallersOfStandalone, StandaloneDaemon) {
+  const std::vector<CallerLoad> Loads{
+      {10, endlessHead()},          {20, endlessHead().substr(0, 128'000)},
+      {200, bodyOf(BodyBytes - 1)}, {10, oneByteChunks()},
+      {10, pipelinedRequests()},    {100, ""}};
+  const std::vector<CallerLoad> Frames{
+      {500, ""},
+      {Many, unfinishedFrame(4'096, 4'095)},
+      {Few, unfinishedFrame(16U << 20U, EndlessBytes)}};
+  const OpenLoad Operators(Instance_, OperatorPort, Loads);
+  const OpenLoad Instances(Instance_, InstancePort, Frames);
+  checkStaysWithinItsMachine(Instance_, Loads, CallerPort, "400 Bad Request");
+}
+
 int main(int Count, char **Arguments) { return runTests(Count, Arguments, 1); }
