Test what callers are told about requests that are not read

The refusal of the standalone daemon when its callers hold too much had no test of its own. It says that the job may have run, as the one for slow requests does, since neither reads the identity.

--- a/transport/test/CallerApiTests.cpp
+++ b/transport/test/CallerApiTests.cpp
@@ -102,3 +102,20 @@
   CHECK_EQUAL(1, Body["retry_after_ms"].get<int>());
   CHECK_TRUE(Body["new_identity_is_safe"].get<bool>());
 }
+
+// Guards against a refusal that says "not run" for a job that another
+// submission may have run: the identity is not read.
+TEST_GROUP(UnreadRequests){};
+
+TEST(UnreadRequests, MayHaveRun) {
+  const HttpReply Overloaded = formatOverloaded();
+  for (const HttpReply &Reply : {formatTooSlow(), Overloaded})
+    STRCMP_EQUAL(
+        "may_have_run",
+        std::string(findHeader(Reply.Headers_, header::Outcome)).c_str());
+  LONGS_EQUAL(504, Overloaded.Status_);
+  STRCMP_EQUAL(
+      "1", std::string(findHeader(Overloaded.Headers_, "Retry-After")).c_str());
+  const auto Body = nlohmann::json::parse(Overloaded.Body_);
+  STRCMP_EQUAL("requests_too_large", Body["reason"].get<std::string>().c_str());
+}
