--- a/transport/test/UntrustedCallersTests.cpp
+++ b/transport/test/UntrustedCallersTests.cpp
@@ -14,6 +14,7 @@
 static constexpr uint16_t ReadinessPort = 8167;
 static constexpr uint16_t OperatorPort = 8167; // Of the standalone daemon.
 static constexpr uint16_t InstancePort = 7720;
+static constexpr uint16_t MetricsPort = 9464;
 static constexpr uint16_t StorePort = 8169;
 static constexpr std::size_t EndlessBytes = 4'000'000;
 static constexpr std::size_t LargestBody = 262'144;
@@ -166,6 +167,11 @@
                         ReadinessPort);
 }
 
+TEST(UntrustedCallers, MetricsListener) {
+  staysWithinItsMachine({{Few, endlessHead()}, {Many, bodyOf(BodyBytes - 1)}},
+                        MetricsPort);
+}
+
 TEST(UntrustedCallers, InstanceListener) {
   staysWithinItsMachine({{700, ""},
                          {Many, unfinishedFrame(4'096, 4'095)},
