Bound the framing of chunks at the byte

The limit on chunk sizes and trailers was checked where a block of received bytes ended. A trailer beyond the limit of the header was accepted if all of it arrived at once and refused if it came in pieces, and a malformed byte behind it changed the cause of the refusal (400 or 431).

The decoder now stops at the first byte beyond the limit.

--- a/transport/marjorambend/src/Transport/HttpFraming.cpp
+++ b/transport/marjorambend/src/Transport/HttpFraming.cpp
@@ -87,7 +87,8 @@
       .append("\r\n\r\n");
 }
 
-std::optional<ChunkDecoder::Piece> ChunkDecoder::next(std::string_view Input) {
+std::optional<ChunkDecoder::Piece>
+ChunkDecoder::next(std::string_view Input, std::size_t MaxFramingBytes) {
   if (State_ == State::Payload) {
     const std::size_t Bytes = std::min(Remaining_, Input.size());
     Remaining_ -= Bytes;
@@ -96,7 +97,8 @@
     return Piece{Bytes, true};
   }
   std::size_t Bytes = 0;
-  while (Bytes < Input.size() && State_ != State::Payload && !isComplete()) {
+  while (Bytes < Input.size() && State_ != State::Payload && !isComplete() &&
+         FramingBytes_ <= MaxFramingBytes) {
     if (!acceptFraming(Input[Bytes]))
       return std::nullopt;
     ++Bytes;
--- a/transport/marjorambend/src/Transport/HttpFraming.h
+++ b/transport/marjorambend/src/Transport/HttpFraming.h
@@ -34,8 +34,9 @@
   };
 
   /// \brief Consumes the beginning of \p Input, which is not empty; nullopt if
-  /// it is malformed.
-  std::optional<Piece> next(std::string_view Input);
+  /// it is malformed. Stops when framingBytes() exceeds \p MaxFramingBytes.
+  std::optional<Piece> next(std::string_view Input,
+                            std::size_t MaxFramingBytes);
 
   /// \brief Whether the last chunk and the trailer are complete.
   bool isComplete() const { return State_ == State::Complete; }
--- a/transport/marjorambend/src/Transport/RequestReceiver.cpp
+++ b/transport/marjorambend/src/Transport/RequestReceiver.cpp
@@ -143,7 +143,8 @@
     const std::string_view Text = firstBytes(Input);
     std::size_t Used = 0;
     while (Used < Text.size() && !Chunks_.isComplete()) {
-      const auto Piece = Chunks_.next(Text.substr(Used));
+      const auto Piece =
+          Chunks_.next(Text.substr(Used), Limits.MaxHeaderBytes_);
       if (!Piece)
         return CloseCause::Malformed;
       // Copied, since a buffer per chunk costs many times a small chunk.
@@ -152,10 +153,10 @@
       if (evbuffer_get_length(Body_.get()) > Limits.MaxBodyBytes_)
         return CloseCause::BodyTooLarge;
       Used += Piece->Bytes_;
+      if (Chunks_.framingBytes() > Limits.MaxHeaderBytes_)
+        return CloseCause::HeaderTooLarge;
     }
     evbuffer_drain(Input, Used);
-    if (Chunks_.framingBytes() > Limits.MaxHeaderBytes_)
-      return CloseCause::HeaderTooLarge;
   }
   return std::nullopt;
 }
--- a/transport/test/RequestReceiverTests.cpp
+++ b/transport/test/RequestReceiverTests.cpp
@@ -103,6 +103,18 @@
   CHECK(Closed(Chunked + "\r\n65\r\n" + Endless) == CloseCause::BodyTooLarge);
 }
 
+// Guards against a trailer beyond the limit that is accepted, or refused for
+// what follows it, because all of it is received at once.
+TEST(RequestReceiving, BoundsFramingAtTheByte) {
+  const std::string Trailer = "\r\n0\r\nX: " + std::string(300, 'x') + "\r\n";
+  for (const char *End : {"\r\n", "\rx"}) {
+    const std::string Text = Chunked + Trailer + End;
+    CHECK(receiveWhole(Text).Closed_ == CloseCause::HeaderTooLarge);
+    CHECK(receiveAll(Text, [] { return std::size_t{1}; }).Closed_ ==
+          CloseCause::HeaderTooLarge);
+  }
+}
+
 // A run of any length: MARJORAMBEND_ORDERS sets the number of cases and
 // MARJORAMBEND_SEED the seed.
 TEST(RequestReceiving, DoesNotDependOnPiecesAndStaysBounded) {
