--- a/review/harness-2/Stage.cpp
+++ b/review/harness-2/Stage.cpp
@@ -685,7 +685,7 @@
   const uint64_t Acked = Body.value("acked_through", uint64_t{0});
   const int64_t Born = Born_;
   const auto HasNews = [&] {
-    return IsOver_ || Born_ != Born ||
+    return IsOver_ || !IsUp_ || Born_ != Born ||
            std::any_of(Ends_.begin(), Ends_.end(),
                        [Acked](const End &E) { return E.Number_ > Acked; });
   };
@@ -749,9 +749,7 @@
   const pid_t Parent = getpid();
   const std::string Log = Folder_ + "/" + Options_.Name_ + ".log";
   const std::string Variable = "MARJORAMBEND_NODE_FILE=" + Settings_;
-  const char *Program = std::getenv("PROGRAM");
-  const std::string Path =
-      Program == nullptr ? "target/daemon/marjorambend" : Program;
+  const char *Path = "target/daemon/marjorambend";
   Pid_ = fork();
   if (Pid_ == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -760,10 +758,10 @@
     const int Out = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(Out, 1);
     dup2(Out, 2);
-    const char *Arguments[] = {Path.c_str(), "platform",
+    const char *Arguments[] = {Path, "platform",
                                "--admission_policy=least_cost", nullptr};
     const char *Environment[] = {Variable.c_str(), nullptr};
-    execve(Path.c_str(), const_cast<char **>(Arguments),
+    execve(Path, const_cast<char **>(Arguments),
            const_cast<char **>(Environment));
     _exit(127);
   }
