--- /dev/null
+++ b/review/harness-3/Fleet.h
@@ -0,0 +1,127 @@
+/// \file
+/// \brief A small deployment: the store, workers and instances as processes.
+#pragma once
+
+#include "Worker.h"
+
+#include <fstream>
+#include <sys/types.h>
+
+namespace review {
+
+struct NodeOptions {
+  std::string Name_;
+  std::string Zone_;
+  double CpuShare_ = 0.25;
+  int MemoryMb_ = 260;
+  int MaxDescriptors_ = 4'100;
+};
+
+/// \brief One instance, run with the command of the deploy file.
+class Node {
+public:
+  Node(NodeOptions Options, std::string Ip, std::string Settings,
+       std::string Folder);
+  Node(const Node &) = delete;
+  ~Node();
+
+  void start();
+  void signal(int Number) const;
+  /// Waits for the process to end.
+  void reap();
+  bool isRunning();
+  bool isReady() const;
+  std::string log() const;
+  const std::string &ip() const { return Ip_; }
+  pid_t pid() const { return Pid_; }
+  const NodeOptions &options() const { return Options_; }
+
+private:
+  NodeOptions Options_;
+  std::string Ip_;
+  std::string Folder_;
+  std::string SettingsFile_;
+  pid_t Pid_ = -1;
+};
+
+inline constexpr uint16_t FrontendPort = 8161;
+
+class Fleet {
+public:
+  /// Writes the record to record.txt in the given folder.
+  explicit Fleet(const std::string &RecordFolder);
+  ~Fleet();
+
+  /// Publishes a desired state with one route.
+  void configure(uint64_t Version, const Json &Routes);
+  Node &addNode(NodeOptions Options);
+  Worker &addWorker(WorkerOptions Options);
+  void removeWorker(std::size_t Index);
+  bool waitReady(int64_t TimeoutMs);
+  std::string ipOf(int Host) const;
+  void note(const std::string &Line);
+
+  std::string Host_ = "queue.example";
+  std::unique_ptr<Store> Store_;
+  Journal Journal_;
+  std::vector<std::unique_ptr<Worker>> Workers_;
+  std::vector<std::unique_ptr<Node>> Nodes_;
+
+private:
+  std::string Prefix_; ///< First three parts of the addresses.
+  std::string Folder_; ///< For settings and logs; removed at the end.
+  std::ofstream Record_;
+  std::mutex Lock_;
+  int NextHost_ = 10;
+};
+
+/// \brief The one queue of a case: /q/ on the host of the fleet.
+Json oneQueue();
+
+/// \brief Body of a job of equal tasks; each works for \p WorkMs.
+Json jobOf(int Tasks, int64_t WorkMs, int64_t Cpu);
+
+/// \brief A POST, GET or DELETE as a client sends it.
+std::string clientRequest(const std::string &Method, const std::string &Path,
+                          const std::string &Host, int64_t DeadlineMs,
+                          const std::string &Body);
+
+/// \brief Clients that send jobs one after the other, as long as it lives.
+class Load {
+public:
+  /// Each client sends \p Job to the instances in turn.
+  Load(Fleet &Target, std::vector<Node *> To, Json Job, int Clients,
+       int64_t DeadlineMs, int64_t PauseMs, uint64_t FirstId);
+  Load(const Load &) = delete;
+  ~Load();
+  /// Number of answers by status; 0 stands for none.
+  std::map<int, int> answers() const;
+
+private:
+  void run(int Client);
+
+  Fleet &Target_;
+  std::vector<Node *> To_;
+  std::string Body_;
+  int64_t DeadlineMs_;
+  int64_t PauseMs_;
+  std::atomic<uint64_t> NextId_;
+  std::atomic<bool> IsStopped_ = false;
+  mutable std::mutex Lock_;
+  std::map<int, int> Answers_;
+  std::vector<std::thread> Clients_;
+};
+
+/// \brief Exit codes of a case.
+enum class Verdict { Held = 0, Broken = 1, NotRun = 2 };
+
+/// \brief Notes the verdict and returns its exit code.
+int finish(Fleet &Played, Verdict Result, const std::string &Why);
+
+/// \brief The ID as clients write it.
+std::string idText(uint64_t Id);
+
+/// \brief Whether the case runs with its disruption (TROUBLE is not 0).
+bool hasTrouble();
+
+} // namespace review
