--- a/review/harness-3/Fleet.cpp
+++ b/review/harness-3/Fleet.cpp
@@ -11,8 +11,6 @@
 
 namespace review {
 
-static constexpr uint16_t StorePort = 8169;
-
 Node::Node(NodeOptions Options, std::string Ip, std::string Settings,
            std::string Folder)
     : Options_(std::move(Options)), Ip_(std::move(Ip)),
@@ -65,8 +63,9 @@
 }
 
 bool Node::isReady() const {
-  const auto Reply = call(
-      Ip_, 8167, formatRequest("GET", "/readyz", {{"Host", Ip_}}, ""), 1'000);
+  const auto Reply =
+      call(Ip_, ReadinessPort,
+           formatRequest("GET", "/readyz", {{"Host", Ip_}}, ""), 1'000);
   return Reply && Reply->Status_ == 200;
 }
 
@@ -122,10 +121,16 @@
   Text += "machine_class: \"edge\"\nserves:\n  - \"edge\"\n  - \"control\"\n";
   Text += "ip: \"" + Ip + "\"\nzone: \"" + Options.Zone_ + "\"\n";
   Text += "region: \"region\"\nzones:\n  " + Options.Zone_ + ": \"region\"\n";
-  Text += "listen_addrs:\n  frontend: \"" + Ip + ":8161\"\n  readiness: \"" +
-          Ip + ":8167\"\n  control_plane: \"" + Ip + ":8166\"\n";
-  Text += "internal_port_range:\n  - 7720\n  - 7735\nseeds:\n  - \"" + Seed +
-          ":8166\"\nbootstrap: true\nfault_counted: false\nlimits:\n";
+  const auto At = [](const std::string &Address, uint16_t Port) {
+    return "\"" + Address + ":" + std::to_string(Port) + "\"";
+  };
+  Text += "listen_addrs:\n  frontend: " + At(Ip, FrontendPort) +
+          "\n  readiness: " + At(Ip, ReadinessPort) +
+          "\n  control_plane: " + At(Ip, ControlPort) + "\n";
+  Text += "internal_port_range:\n  - " + std::to_string(LinkPort) + "\n  - " +
+          std::to_string(LinkPort) + "\n";
+  Text += "seeds:\n  - " + At(Seed, ControlPort) +
+          "\nbootstrap: true\nfault_counted: false\nlimits:\n";
   Text += "  cpu_share: " + std::to_string(Options.CpuShare_) +
           "\n  cores: 1\n  memory_mb: " + std::to_string(Options.MemoryMb_) +
           "\n  max_fds: " + std::to_string(Options.MaxDescriptors_) + "\n";
@@ -150,7 +155,7 @@
   if (Options.Ip_.empty())
     Options.Ip_ = ipOf(NextHost_++);
   if (Options.Port_ == 0)
-    Options.Port_ = 8200;
+    Options.Port_ = WorkerPort;
   Workers_.push_back(
       std::make_unique<Worker>(std::move(Options), *Store_, Journal_));
   return *Workers_.back();
--- a/review/harness-3/Fleet.h
+++ b/review/harness-3/Fleet.h
@@ -9,6 +9,15 @@
 
 namespace review {
 
+/// \brief Ports of this run, the same on all addresses.
+inline const std::vector<uint16_t> Ports = freePorts(6);
+inline const uint16_t FrontendPort = Ports[0];
+inline const uint16_t ReadinessPort = Ports[1];
+inline const uint16_t ControlPort = Ports[2];
+inline const uint16_t LinkPort = Ports[3];
+inline const uint16_t StorePort = Ports[4];
+inline const uint16_t WorkerPort = Ports[5];
+
 struct NodeOptions {
   std::string Name_;
   std::string Zone_;
@@ -44,8 +53,6 @@
   pid_t Pid_ = -1;
 };
 
-inline constexpr uint16_t FrontendPort = 8161;
-
 class Fleet {
 public:
   /// Writes the record to record.txt in the given folder.
--- a/review/harness-3/Net.cpp
+++ b/review/harness-3/Net.cpp
@@ -33,6 +33,24 @@
   return Address;
 }
 
+std::vector<uint16_t> freePorts(std::size_t Count) {
+  std::vector<uint16_t> Ports;
+  std::vector<int> Sockets;
+  while (Ports.size() < Count) {
+    const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    socklen_t Length = sizeof(Address);
+    ::bind(Socket, reinterpret_cast<const sockaddr *>(&Address), Length);
+    ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+    Ports.push_back(ntohs(Address.sin_port));
+    Sockets.push_back(Socket);
+  }
+  for (const int Socket : Sockets)
+    ::close(Socket);
+  return Ports;
+}
+
 Stream &Stream::operator=(Stream &&Other) noexcept {
   close();
   Socket_ = std::exchange(Other.Socket_, -1);
--- a/review/harness-3/Net.h
+++ b/review/harness-3/Net.h
@@ -19,6 +19,9 @@
 int64_t nowMs();
 void sleepMs(int64_t Time);
 
+/// \brief Ports that nothing on this machine uses, all different.
+std::vector<uint16_t> freePorts(std::size_t Count);
+
 struct Request {
   std::string Method_;
   std::string Path_; ///< Without the query.
--- a/review/harness-3/Store.cpp
+++ b/review/harness-3/Store.cpp
@@ -1,5 +1,7 @@
 #include "Store.h"
 
+#include <algorithm>
+
 namespace review {
 
 // A transaction takes `tx_ms`.
@@ -41,6 +43,14 @@
   HasChanged_.notify_all();
 }
 
+bool Store::hasRow(const std::string &Key) {
+  const std::lock_guard Guard(Lock_);
+  return std::any_of(Tables_.begin(), Tables_.end(), [&Key](const auto &One) {
+    const auto Found = One.second.find(Key);
+    return Found != One.second.end() && !Found->second.IsDeleted_;
+  });
+}
+
 Response Store::handle(const Request &Asked) {
   if (Asked.Path_ == "/rows-feed")
     return rowsFeed(Asked);
--- a/review/harness-3/Store.h
+++ b/review/harness-3/Store.h
@@ -19,6 +19,8 @@
   /// Writes a row as the operator or a worker does.
   void put(const std::string &Table, const std::string &Key, const Json &Value);
   void remove(const std::string &Table, const std::string &Key);
+  /// Whether any table has a row with this key.
+  bool hasRow(const std::string &Key);
 
 private:
   struct Row {
