--- a/review/harness-3/Fleet.cpp
+++ b/review/harness-3/Fleet.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
+#include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -69,19 +70,17 @@
   return Reply && Reply->Status_ == 200;
 }
 
-std::string Node::log() const {
-  std::ifstream File(Folder_ + "/" + Options_.Name_ + ".log");
-  return {std::istreambuf_iterator<char>(File), {}};
-}
-
 Fleet::Fleet(const std::string &RecordFolder)
     : Record_(RecordFolder + "/record.txt") {
   nowMs();
   const int Number = static_cast<int>(::getpid());
   Prefix_ = "127." + std::to_string(20 + Number / 200 % 200) + "." +
             std::to_string(1 + Number % 200) + ".";
-  char Name[] = "/tmp/review-3-XXXXXX";
-  Folder_ = ::mkdtemp(Name);
+  const char *Parent = std::getenv("TMPDIR");
+  Folder_ =
+      std::string(Parent == nullptr ? "/tmp" : Parent) + "/review-3-XXXXXX";
+  if (::mkdtemp(Folder_.data()) == nullptr)
+    throw std::runtime_error("cannot create a temporary folder");
   Store_ = std::make_unique<Store>(ipOf(1), StorePort);
 }
 
@@ -216,41 +215,6 @@
   return Text;
 }
 
-Load::Load(Fleet &Target, std::vector<Node *> To, Json Job, int Clients,
-           int64_t DeadlineMs, int64_t PauseMs, uint64_t FirstId)
-    : Target_(Target), To_(std::move(To)), Body_(Job.dump()),
-      DeadlineMs_(DeadlineMs), PauseMs_(PauseMs), NextId_(FirstId) {
-  for (int Client = 0; Client < Clients; ++Client)
-    Clients_.emplace_back([this, Client] { run(Client); });
-}
-
-Load::~Load() {
-  IsStopped_ = true;
-  for (std::thread &One : Clients_)
-    One.join();
-}
-
-std::map<int, int> Load::answers() const {
-  const std::lock_guard Guard(Lock_);
-  return Answers_;
-}
-
-void Load::run(int Client) {
-  sleepMs(Client * PauseMs_);
-  for (std::size_t Turn = static_cast<std::size_t>(Client); !IsStopped_;
-       ++Turn) {
-    const auto Reply = call(To_[Turn % To_.size()]->ip(), FrontendPort,
-                            clientRequest("POST", "/q/" + idText(NextId_++),
-                                          Target_.Host_, DeadlineMs_, Body_),
-                            DeadlineMs_ + 500);
-    {
-      const std::lock_guard Guard(Lock_);
-      ++Answers_[Reply ? Reply->Status_ : 0];
-    }
-    sleepMs(PauseMs_);
-  }
-}
-
 bool hasTrouble() {
   const char *Value = std::getenv("TROUBLE");
   return Value == nullptr || std::string(Value) != "0";
--- a/review/harness-3/Fleet.h
+++ b/review/harness-3/Fleet.h
@@ -40,7 +40,6 @@
   void reap();
   bool isRunning();
   bool isReady() const;
-  std::string log() const;
   const std::string &ip() const { return Ip_; }
   pid_t pid() const { return Pid_; }
   const NodeOptions &options() const { return Options_; }
@@ -63,7 +62,6 @@
   void configure(uint64_t Version, const Json &Routes);
   Node &addNode(NodeOptions Options);
   Worker &addWorker(WorkerOptions Options);
-  void removeWorker(std::size_t Index);
   bool waitReady(int64_t TimeoutMs);
   std::string ipOf(int Host) const;
   void note(const std::string &Line);
@@ -93,32 +91,6 @@
                           const std::string &Host, int64_t DeadlineMs,
                           const std::string &Body);
 
-/// \brief Clients that send jobs one after the other, as long as it lives.
-class Load {
-public:
-  /// Each client sends \p Job to the instances in turn.
-  Load(Fleet &Target, std::vector<Node *> To, Json Job, int Clients,
-       int64_t DeadlineMs, int64_t PauseMs, uint64_t FirstId);
-  Load(const Load &) = delete;
-  ~Load();
-  /// Number of answers by status; 0 stands for none.
-  std::map<int, int> answers() const;
-
-private:
-  void run(int Client);
-
-  Fleet &Target_;
-  std::vector<Node *> To_;
-  std::string Body_;
-  int64_t DeadlineMs_;
-  int64_t PauseMs_;
-  std::atomic<uint64_t> NextId_;
-  std::atomic<bool> IsStopped_ = false;
-  mutable std::mutex Lock_;
-  std::map<int, int> Answers_;
-  std::vector<std::thread> Clients_;
-};
-
 /// \brief Exit codes of a case.
 enum class Verdict { Held = 0, Broken = 1, NotRun = 2 };
 
--- a/review/harness-3/Net.cpp
+++ b/review/harness-3/Net.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <chrono>
-#include <csignal>
 #include <cstring>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -58,7 +57,7 @@
   return *this;
 }
 
-Stream Stream::dial(const std::string &Ip, uint16_t Port, int64_t) {
+Stream Stream::dial(const std::string &Ip, uint16_t Port) {
   const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in Address = addressOf(Ip, Port);
   if (::connect(Socket, reinterpret_cast<const sockaddr *>(&Address),
@@ -201,12 +200,6 @@
   Socket_ = -1;
 }
 
-void Stream::reset() {
-  const linger Hard{.l_onoff = 1, .l_linger = 0};
-  setsockopt(Socket_, SOL_SOCKET, SO_LINGER, &Hard, sizeof(Hard));
-  close();
-}
-
 Server::Server(std::string Ip, uint16_t Port, Handler OnRequest)
     : OnRequest_(std::move(OnRequest)) {
   Listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -284,7 +277,7 @@
 
 std::optional<Response> call(const std::string &Ip, uint16_t Port,
                              const std::string &Text, int64_t TimeoutMs) {
-  Stream Channel = Stream::dial(Ip, Port, TimeoutMs);
+  Stream Channel = Stream::dial(Ip, Port);
   if (!Channel.isOpen() || !Channel.send(Text))
     return std::nullopt;
   return Channel.readResponse(TimeoutMs);
--- a/review/harness-3/Net.h
+++ b/review/harness-3/Net.h
@@ -46,7 +46,7 @@
   Stream &operator=(Stream &&Other) noexcept;
   ~Stream() { close(); }
 
-  static Stream dial(const std::string &Ip, uint16_t Port, int64_t TimeoutMs);
+  static Stream dial(const std::string &Ip, uint16_t Port);
   bool isOpen() const { return Socket_ >= 0; }
   bool send(const std::string &Bytes) const;
   /// Reads one HTTP response; nullopt if none is complete in time.
@@ -54,8 +54,6 @@
   /// Reads one HTTP request; nullopt if the connection ends.
   std::optional<Request> readRequest();
   void close();
-  /// Closes the connection with a reset.
-  void reset();
 
 private:
   bool fill(int64_t UntilMs);
--- a/review/harness-3/Worker.cpp
+++ b/review/harness-3/Worker.cpp
@@ -6,8 +6,6 @@
 
 static constexpr int64_t HeartbeatMs = 1'500;
 static constexpr int64_t TickMs = 5;
-// `drain_ms` of the settings: the least time that a draining worker serves.
-static constexpr int64_t DrainMs = 2'000;
 // `hold_max_ms` of the settings.
 static constexpr int64_t MaxLeaseMs = 1'000;
 
@@ -57,23 +55,16 @@
       {"zone", Options_.Zone_},
       {"version", "1"},
       {"slots", 8},
-      {"state", IsDraining_ ? "draining" : "ready"},
+      {"state", "ready"},
       {"cold_remaining_ms", 0},
       {"sequence", ++Sequence_},
       {"born", BornMs_},
       {"capacity",
        {{"cpu", Options_.Cpu_}, {"mem_mb", Options_.MemoryMb_}, {"gpu", 0}}},
       {"labels", Options_.Labels_}};
-  if (IsDraining_)
-    Row["remaining_ms"] = DrainMs;
   Registry_.put("servers", Options_.Id_, Row);
 }
 
-void Worker::drain() {
-  IsDraining_ = true;
-  registerSelf();
-}
-
 void Worker::endRun(const RunKey &Key, const std::string &How) {
   Runs_.erase(Key);
   auto &Highest = HighestEnded_[Key.first];
--- a/review/harness-3/Worker.h
+++ b/review/harness-3/Worker.h
@@ -43,9 +43,6 @@
   Worker(WorkerOptions Options, Store &Registry, Journal &Seen);
   Worker(const Worker &) = delete;
   ~Worker();
-  /// Reports that it drains; the store has accepted that on return.
-  void drain();
-  const WorkerOptions &options() const { return Options_; }
 
 private:
   struct Run {
@@ -81,7 +78,6 @@
   int64_t NextEnd_ = 1;
   std::vector<Json> Ended_;
   uint64_t Sequence_ = 0;
-  std::atomic<bool> IsDraining_ = false;
   std::atomic<bool> IsStopped_ = false;
   std::thread Ticker_;
   std::unique_ptr<Server> Server_;
